--- /dev/null
+++ b/packages/cli/src/commands/change.ts
@@ -0,0 +1,164 @@
+/** The commands that change the configuration: `publish` and `amend`. */
+import * as citty from 'citty';
+import type * as core from '@figshed/core';
+import * as coreParts from '@figshed/core';
+import * as uuid from 'uuid';
+import * as documents from '../documents.js';
+import * as errors from '../errors.js';
+import * as fleetModule from '../fleet.js';
+import * as outputModule from '../output.js';
+import * as platformModule from '../platform.js';
+import * as shared from './arguments.js';
+import * as run from './run.js';
+
+const DEFAULT_TIMEOUT_S = '10';
+const MS_PER_SECOND = 1_000;
+
+const changeArguments = {
+  ...shared.logArgument,
+  ...shared.proxyArgument,
+  ...shared.jsonArgument,
+  base: {
+    type: 'string',
+    description: 'Revisions the change was made against: ID=REVISION,... or "current"',
+  },
+  remove: { type: 'string', description: 'Resources to remove: ID,...' },
+  author: { type: 'string', description: 'Who makes the change', default: '' },
+  'change-id': { type: 'string', description: 'Id of an earlier try, to repeat it safely' },
+  wait: {
+    type: 'boolean',
+    description: 'Wait until every proxy has the version',
+    default: false,
+  },
+  timeout: { type: 'string', description: 'Seconds to wait', default: DEFAULT_TIMEOUT_S },
+} as const;
+
+interface ChangeArguments {
+  _: string[];
+  log?: string | undefined;
+  proxy?: string | undefined;
+  json: boolean;
+  base?: string | undefined;
+  remove?: string | undefined;
+  author: string;
+  'change-id'?: string | undefined;
+  wait: boolean;
+  timeout: string;
+}
+
+function parseBase(text: string | undefined): Record<string, number> {
+  if (!text || text === 'current') return {};
+  return Object.fromEntries(
+    text.split(',').map((pair) => {
+      const match = /^([a-z]+\/[a-z0-9-]+)=(\d+)$/.exec(pair.trim());
+      if (!match) throw new errors.UsageError(`--base: "${pair}" is not ID=REVISION`);
+      return [match[1], Number(match[2])];
+    }),
+  );
+}
+
+function parseTimeout(text: string): number {
+  const seconds = Number(text);
+  if (!(seconds > 0)) throw new errors.UsageError('--timeout must be a number of seconds');
+  return seconds * MS_PER_SECOND;
+}
+
+function resolveBase(
+  args: ChangeArguments,
+  touched: readonly string[],
+  stated: Readonly<Record<string, number>>,
+  state: core.State,
+  isNew: boolean,
+): Record<string, number> {
+  const given = parseBase(args.base);
+  const missing: string[] = [];
+  const entries = touched.map((id) => {
+    const current = state.resources[id]?.revision ?? 0;
+    const fallback = isNew ? 0 : undefined;
+    const revision = args.base === 'current' ? current : (given[id] ?? stated[id] ?? fallback);
+    if (revision === undefined) missing.push(`${id} (now at ${current})`);
+    return [id, revision ?? 0] as const;
+  });
+  if (missing.length > 0) {
+    throw new errors.UsageError(
+      `amend needs the revision of each resource, by --base or "base" in the document: ${missing.join(
+        ', ',
+      )}`,
+    );
+  }
+  return Object.fromEntries(entries);
+}
+
+function createChange(args: ChangeArguments, state: core.State, isNew: boolean): core.Change {
+  const existing = new Map(
+    Object.entries(state.resources).map(([id, { resource }]) => [id, resource]),
+  );
+  const remove = args.remove ? args.remove.split(',').map((id) => id.trim()) : [];
+  remove.forEach((id) => existing.delete(id));
+  const loaded = documents.loadDocuments(args._, existing);
+  const touched = [...loaded.resources.map(coreParts.formatResourceId), ...remove];
+  if (touched.length === 0) throw new errors.UsageError('name at least one document');
+  return coreParts.changeSchema.parse({
+    type: 'change',
+    id: args['change-id'] ?? uuid.v7(),
+    author: args.author,
+    base: resolveBase(args, touched, loaded.base, state, isNew),
+    put: loaded.resources,
+    remove,
+  });
+}
+
+function checkDecision(decision: core.Decision): void {
+  if (decision.accepted) return;
+  const lines = decision.findings.map(({ path, message }) => `${path}: ${message}`);
+  throw new errors.RefusedError(`the change was refused\n${lines.join('\n')}`);
+}
+
+async function submitChange(args: ChangeArguments, isNew: boolean): Promise<void> {
+  const output = outputModule.createOutput(args.json);
+  const timeoutMs = parseTimeout(args.timeout);
+  const fleet = args.wait
+    ? fleetModule.createFleetClient(
+        args.proxy ?? process.env.FIGSHED_PROXY,
+        process.env.FIGSHED_FLEET_KEY,
+      )
+    : undefined;
+  const platform = platformModule.createPlatform(run.resolveLogUrl(args.log));
+  try {
+    const state = await platform.readState();
+    const change = createChange(args, state, isNew);
+    const decision = await platform.decide(change, timeoutMs);
+    checkDecision(decision);
+    output.print(`accepted as version ${decision.offset}`);
+    const progress = await fleet?.waitForVersion(
+      decision.offset,
+      timeoutMs,
+      ({ inForce, total, stragglers }) => {
+        const rest = stragglers.length > 0 ? `; waiting for ${stragglers.join(', ')}` : '';
+        output.print(`in force on ${inForce} of ${total} proxies${rest}`);
+      },
+    );
+    output.printResult(`version ${decision.offset}`, {
+      changeId: change.id,
+      version: decision.offset,
+      ...(progress ? { inForce: progress.inForce, total: progress.total } : {}),
+    });
+  } finally {
+    await platform.close();
+    await fleet?.close();
+  }
+}
+
+/** Publishes new resources. */
+export const publishCommand = citty.defineCommand({
+  meta: { name: 'publish', description: 'Publish new resources; none of them may exist yet' },
+  args: changeArguments,
+  run: ({ args }) => run.runAction(args.json, () => submitChange(args, true)),
+});
+
+/** Changes or removes resources. */
+export const amendCommand = citty.defineCommand({
+  meta: { name: 'amend', description: 'Change or remove resources at known revisions' },
+  args: changeArguments,
+  run: ({ args }) => run.runAction(args.json, () => submitChange(args, false)),
+});
--- /dev/null
+++ b/packages/cli/src/commands/run.ts
@@ -0,0 +1,54 @@
+/** Runs a command's action and turns its errors into messages and exit codes. */
+import * as runtime from '@figshed/runtime';
+import * as errors from '../errors.js';
+import * as exitCodesModule from '../exit-codes.js';
+
+const { exitCodes } = exitCodesModule;
+
+interface Failure {
+  exitCode: number;
+  value: unknown;
+  text: string;
+}
+
+function describeFailure(error: unknown): Failure {
+  if (error instanceof runtime.DocumentError) {
+    const value = { error: error.code, findings: error.findings };
+    return { exitCode: exitCodes.refused, value, text: error.message };
+  }
+  if (error instanceof errors.CommandError) {
+    const value = { error: error.code, message: error.message };
+    return { exitCode: error.exitCode, value, text: error.message };
+  }
+  const { message } = error as Error;
+  return { exitCode: exitCodes.unknown, value: { error: 'FAILED', message }, text: message };
+}
+
+/**
+ * Runs an action; its failure is printed and becomes the exit code.
+ *
+ * @example
+ * await runAction(args.json, () => publish(args));
+ */
+export async function runAction(isJson: boolean, action: () => Promise<void>): Promise<void> {
+  try {
+    await action();
+  } catch (error) {
+    const { exitCode, value, text } = describeFailure(error);
+    process.stderr.write(isJson ? `${JSON.stringify(value)}\n` : `${text}\n`);
+    process.exitCode = exitCode;
+  }
+}
+
+/**
+ * Resolves the log's URL from the argument or the environment.
+ *
+ * @throws UsageError when neither is set.
+ * @example
+ * const url = resolveLogUrl(args.log);
+ */
+export function resolveLogUrl(argument: string | undefined): string {
+  const url = argument ?? process.env.FIGSHED_LOG_URL;
+  if (!url) throw new errors.UsageError('this command needs --log URL');
+  return url;
+}
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,33 @@
+/** The `figshed` command for operators. */
+import * as citty from 'citty';
+import * as change from './commands/change.js';
+import * as read from './commands/read.js';
+import * as exitCodesModule from './exit-codes.js';
+
+const { exitCodes } = exitCodesModule;
+
+const main = citty.defineCommand({
+  meta: { name: 'figshed', description: 'Publish contracts and watch them take hold' },
+  subCommands: {
+    validate: read.validateCommand,
+    publish: change.publishCommand,
+    amend: change.amendCommand,
+    get: read.getCommand,
+    status: read.statusCommand,
+    explain: read.explainCommand,
+    'hash-key': read.hashKeyCommand,
+  },
+});
+
+const rawArgs = process.argv.slice(2);
+const isHelp = rawArgs.includes('--help') || rawArgs.includes('-h');
+if (isHelp) {
+  await citty.runMain(main);
+} else {
+  try {
+    await citty.runCommand(main, { rawArgs });
+  } catch (error) {
+    process.stderr.write(`${(error as Error).message}\n`);
+    process.exitCode = exitCodes.usage;
+  }
+}
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,151 @@
+/** Decision parts of figshed; none of them reads a clock, a random source or a socket. */
+export {
+  admissionDefaults,
+  createAdmission,
+  type Admission,
+  type AdmissionEffect,
+  type AdmissionOptions,
+  type AdmissionRequest,
+  type ShedReason,
+} from './admission/admission.js';
+export {
+  compileConfig,
+  matchRoute,
+  type CompiledConfig,
+  type RouteMatch,
+} from './config/compiled.js';
+export {
+  MAX_DECISIONS,
+  computeStateDigest,
+  createSnapshot,
+  createState,
+  foldRecord,
+  readSnapshot,
+  recoverState,
+  type OffsetRecord,
+} from './config/fold.js';
+export { checkReferences, formatResourceId, type Finding } from './config/references.js';
+export {
+  changeSchema,
+  contractSchema,
+  fleetSchema,
+  recordSchema,
+  requestKindSchema,
+  resourceSchema,
+  routeSchema,
+  serviceSchema,
+  snapshotSchema,
+  stateSchema,
+  type Change,
+  type ConfigRecord,
+  type Contract,
+  type Decision,
+  type Fleet,
+  type RequestKind,
+  type Resource,
+  type Route,
+  type Service,
+  type Snapshot,
+  type State,
+} from './config/schemas.js';
+export { createReplica, type Replica } from './distribution/replica.js';
+export type { FetchAnswer, FetchRequest, ReplicaEffect } from './distribution/types.js';
+export {
+  createQuarantine,
+  quarantineDefaults,
+  type Death,
+  type Quarantine,
+  type QuarantineOptions,
+} from './health/quarantine.js';
+export { createTokenBucket, type TokenBucket } from './limits/token-bucket.js';
+export { membershipDefaults } from './membership/defaults.js';
+export {
+  createMembership,
+  type Membership,
+  type MembershipInput,
+} from './membership/membership.js';
+export { isNewer } from './membership/precedence.js';
+export type {
+  ConfigMark,
+  Endpoint,
+  GossipMessage,
+  Member,
+  MemberInfo,
+  MemberStatus,
+  MembershipEffect,
+  MembershipOptions,
+  TargetInfo,
+  TargetState,
+} from './membership/types.js';
+export {
+  claimerDefaults,
+  createClaimer,
+  type ClaimResult,
+  type Claimer,
+  type ClaimerEffect,
+  type ClaimerOptions,
+} from './orders/claimer.js';
+export {
+  ORDER_PARTITIONS,
+  checkKey,
+  computePartition,
+  formatOrderKey,
+  formatStream,
+  readKeyTime,
+  type KeyVerdict,
+} from './orders/keys.js';
+export { createLedger, type Ledger, type OrderState } from './orders/ledger.js';
+export {
+  orderAnswerSchema,
+  orderBatchSchema,
+  orderEntrySchema,
+  type OrderAnswer,
+  type OrderBatch,
+  type OrderEntry,
+} from './orders/schemas.js';
+export {
+  authorizeCall,
+  type AllowedCall,
+  type CallQuestion,
+  type RefusedCall,
+} from './routing/authorize.js';
+export {
+  choiceDefaults,
+  chooseTarget,
+  computeLoad,
+  type Candidate,
+  type Choice,
+  type ChoiceOptions,
+  type Distance,
+} from './routing/choice.js';
+export {
+  circuitDefaults,
+  createCircuit,
+  type Circuit,
+  type CircuitOptions,
+  type CircuitState,
+} from './routing/circuit.js';
+export {
+  combineOutcomes,
+  mayRetry,
+  type AttemptResult,
+  type Outcome,
+  type RetryQuestion,
+} from './routing/outcome.js';
+export {
+  createRetryBudget,
+  retryBudgetDefaults,
+  type RetryBudget,
+  type RetryBudgetOptions,
+} from './routing/retry-budget.js';
+export {
+  createTargetTable,
+  type AttemptHealth,
+  type LoadReport,
+  type TargetTable,
+  type TargetTableInput,
+} from './routing/target-table.js';
+export { computeDigest, computeHash32, formatCanonical } from './shared/canonical.js';
+export type { Clock, Random } from './shared/clock.js';
+export { FigshedError, InvariantError, checkInvariant } from './shared/errors.js';
+export { chooseHolders } from './shared/rendezvous.js';
--- /dev/null
+++ b/packages/core/src/limits/token-bucket.ts
@@ -0,0 +1,49 @@
+/** A token bucket whose rate and size may change while it is in use. */
+
+/** One bucket. */
+export interface TokenBucket {
+  /** Changes the rate, in tokens per second, and the size; what is saved up is cut to the size. */
+  setTerms(ratePerSecond: number, burst: number, now: number): void;
+  /** Takes one token, or returns the milliseconds until one is there. */
+  take(now: number): { admitted: true } | { admitted: false; retryAfterMs: number };
+}
+
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Creates an empty bucket; it is filled at its rate from `now` on, so that a restart grants
+ * nothing anew.
+ *
+ * @example
+ * const bucket = createTokenBucket(10, 5, clock.monotonic());
+ */
+export function createTokenBucket(ratePerSecond: number, burst: number, now: number): TokenBucket {
+  let rate = ratePerSecond;
+  let size = burst;
+  let tokens = 0;
+  let filledAt = now;
+
+  const fill = (at: number): void => {
+    tokens = Math.min(size, tokens + (Math.max(0, at - filledAt) * rate) / MS_PER_SECOND);
+    filledAt = Math.max(filledAt, at);
+  };
+
+  return {
+    setTerms(nextRate, nextBurst, at) {
+      fill(at);
+      rate = nextRate;
+      size = nextBurst;
+      tokens = Math.min(tokens, size);
+    },
+    take(at) {
+      fill(at);
+      if (tokens >= 1) {
+        tokens -= 1;
+        return { admitted: true };
+      }
+      const retryAfterMs =
+        rate > 0 ? Math.ceil(((1 - tokens) * MS_PER_SECOND) / rate) : MS_PER_SECOND;
+      return { admitted: false, retryAfterMs };
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/shared/clock.ts
@@ -0,0 +1,12 @@
+/** Time and chance as interfaces, so that decisions can be replayed. */
+
+/** A source of time, in milliseconds. */
+export interface Clock {
+  /** Wall-clock time since the Unix epoch, in milliseconds. */
+  now(): number;
+  /** Monotonic time from an arbitrary origin, in milliseconds. */
+  monotonic(): number;
+}
+
+/** A source of random numbers, uniform in [0, 1). */
+export type Random = () => number;
--- /dev/null
+++ b/packages/proxy/bin/figshed-proxy.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
--- /dev/null
+++ b/packages/proxy/src/bus.ts
@@ -0,0 +1,37 @@
+/** Typed messages between the tasks of one process. */
+import type * as core from '@figshed/core';
+
+/** Every message that tasks send to one another. */
+export interface Messages {
+  'member-changed': { member: core.Member; before: core.Member | undefined };
+  'mark-seen': { id: string; mark: core.ConfigMark };
+  'config-applied': { config: core.CompiledConfig; source: string };
+  'target-changed': { target: core.TargetInfo | null };
+  'target-died': { deaths: core.Death[] };
+  'order-done': { orderKey: string; claimId: string; answer: core.OrderAnswer };
+}
+
+/** Delivers messages to the tasks that listen. */
+export interface Bus {
+  on<K extends keyof Messages>(type: K, handler: (message: Messages[K]) => void): void;
+  send<K extends keyof Messages>(type: K, message: Messages[K]): void;
+}
+
+/**
+ * Creates a bus without listeners.
+ *
+ * @example
+ * const bus = createBus();
+ * bus.on('target-changed', ({ target }) => announce(target));
+ */
+export function createBus(): Bus {
+  const handlers = new Map<keyof Messages, ((message: never) => void)[]>();
+  return {
+    on(type, handler) {
+      handlers.set(type, [...(handlers.get(type) ?? []), handler]);
+    },
+    send(type, message) {
+      handlers.get(type)?.forEach((handler) => handler(message as never));
+    },
+  };
+}
--- /dev/null
+++ b/packages/proxy/src/calls/attempt-codec.ts
@@ -0,0 +1,98 @@
+/** Carries an attempt in the headers of an HTTP request between two proxies, and back. */
+import type * as core from '@figshed/core';
+import * as headers from './headers.js';
+import type * as types from './types.js';
+
+const names = headers.headerNames;
+
+/**
+ * Writes an attempt as headers; the deadline travels as the time that is left.
+ *
+ * @example
+ * const sent = writeAttempt(request, fleetKey, clock.monotonic());
+ */
+export function writeAttempt(
+  request: types.AttemptRequest,
+  fleetKey: string,
+  now: number,
+): types.Headers {
+  const written: types.Headers = {
+    ...request.headers,
+    authorization: `Fleet ${fleetKey}`,
+    [names.attempt]: request.attemptId,
+    [names.instance]: request.instance,
+    [names.customer]: request.customer,
+    [names.service]: request.service,
+    [names.weight]: String(request.weight),
+    [names.timeout]: String(Math.max(1, Math.floor(request.deadlineAt - now))),
+    [names.fingerprint]: request.fingerprint,
+  };
+  if (request.order) {
+    written[names.order] = request.order.orderKey;
+    written[names.claim] = request.order.claimId;
+  }
+  return written;
+}
+
+/**
+ * Reads an attempt from headers; undefined when one is missing.
+ *
+ * @example
+ * const request = readAttempt('GET', '/catalogue/7', received, undefined, clock.monotonic());
+ */
+export function readAttempt(
+  method: string,
+  path: string,
+  received: types.Headers,
+  body: Buffer | undefined,
+  now: number,
+): types.AttemptRequest | undefined {
+  const read = (name: string) => headers.readHeader(received, name);
+  const attemptId = read(names.attempt);
+  const instance = read(names.instance);
+  const customer = read(names.customer);
+  const service = read(names.service);
+  const timeoutMs = Number(read(names.timeout));
+  const weight = Number(read(names.weight));
+  if (!attemptId || !instance || !customer || !service) return undefined;
+  if (!(timeoutMs > 0) || !(weight > 0)) return undefined;
+  const orderKey = read(names.order);
+  const claimId = read(names.claim);
+  return {
+    attemptId,
+    instance,
+    customer,
+    service,
+    weight,
+    method,
+    path,
+    headers: headers.copyRequestHeaders(received),
+    body,
+    deadlineAt: now + timeoutMs,
+    fingerprint: read(names.fingerprint) ?? '',
+    order: orderKey && claimId ? { orderKey, claimId } : undefined,
+  };
+}
+
+/**
+ * Formats a load report for a header.
+ *
+ * @example
+ * formatLoad({ running: 3, waiting: 1 }); // '3,1'
+ */
+export function formatLoad(load: core.LoadReport): string {
+  return `${load.running},${load.waiting}`;
+}
+
+/**
+ * Parses the header that `formatLoad` wrote.
+ *
+ * @example
+ * parseLoad('3,1'); // { running: 3, waiting: 1 }
+ */
+export function parseLoad(text: string | undefined): core.LoadReport | undefined {
+  if (!text) return undefined;
+  const [running, waiting] = text.split(',').map(Number);
+  if (!Number.isFinite(running) || !Number.isFinite(waiting)) return undefined;
+  return { running: running as number, waiting: waiting as number };
+}
--- /dev/null
+++ b/packages/proxy/src/calls/headers.ts
@@ -0,0 +1,86 @@
+/** Names of the headers that carry a call between processes, and which ones pass through. */
+import type * as types from './types.js';
+
+export const headerNames = {
+  outcome: 'x-figshed-outcome',
+  attemptOutcome: 'x-figshed-attempt-outcome',
+  reason: 'x-figshed-reason',
+  callId: 'x-figshed-call-id',
+  attempt: 'x-figshed-attempt',
+  instance: 'x-figshed-instance',
+  customer: 'x-figshed-customer',
+  service: 'x-figshed-service',
+  weight: 'x-figshed-weight',
+  timeout: 'x-figshed-timeout-ms',
+  fingerprint: 'x-figshed-fingerprint',
+  order: 'x-figshed-order',
+  claim: 'x-figshed-claim',
+  load: 'x-figshed-load',
+  version: 'x-figshed-version',
+  replayed: 'x-figshed-replayed',
+  /** Sent to targets, and echoed by those that can. */
+  requestId: 'x-request-id',
+  /** Sent to targets: milliseconds left for the call. */
+  requestTimeout: 'x-request-timeout-ms',
+  /** Sent by a target that refuses a call without having run it. */
+  targetNotRun: 'x-not-run',
+  idempotencyKey: 'idempotency-key',
+} as const;
+
+const hopByHop = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+  'host',
+]);
+
+const ownPrefix = 'x-figshed-';
+
+function copyHeaders(headers: types.Headers, keep: (name: string) => boolean): types.Headers {
+  const copy: types.Headers = {};
+  Object.keys(headers).forEach((name) => {
+    if (!hopByHop.has(name) && keep(name)) copy[name] = headers[name];
+  });
+  return copy;
+}
+
+/**
+ * Copies a caller's headers for a target, without its credentials and our own headers.
+ *
+ * @example
+ * copyRequestHeaders({ accept: '*\/*', authorization: 'Bearer key' }); // { accept: '*\/*' }
+ */
+export function copyRequestHeaders(headers: types.Headers): types.Headers {
+  return copyHeaders(
+    headers,
+    (name) => name !== 'authorization' && name !== 'content-length' && !name.startsWith(ownPrefix),
+  );
+}
+
+/**
+ * Copies a target's headers for a caller, without ours.
+ *
+ * @example
+ * copyAnswerHeaders({ 'content-type': 'text/plain', connection: 'close' });
+ */
+export function copyAnswerHeaders(headers: types.Headers): types.Headers {
+  return copyHeaders(headers, (name) => !name.startsWith(ownPrefix));
+}
+
+/**
+ * Reads a header that must stand once.
+ *
+ * @example
+ * readHeader({ 'x-request-id': '7' }, 'x-request-id'); // '7'
+ */
+export function readHeader(headers: types.Headers, name: string): string | undefined {
+  const value = headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/packages/proxy/src/egress/target-connection.ts
@@ -0,0 +1,144 @@
+/** HTTP from a proxy to the target on its host. */
+import * as undici from 'undici';
+import * as headers from '../calls/headers.js';
+import type * as types from '../calls/types.js';
+
+/** How a call at the target ended. */
+export type TargetFailure = 'refused-by-target' | 'not-connected' | 'crossed' | 'timeout' | 'lost';
+
+/** Takes the target's answer. */
+export interface TargetHandler {
+  onHead(head: types.AnswerHead): void;
+  onData(chunk: Buffer): void;
+  onEnd(): void;
+  onFailure(failure: TargetFailure): void;
+}
+
+/** Connections to one target. */
+export interface TargetConnection {
+  send(request: types.AttemptRequest, remainingMs: number, handler: TargetHandler): types.Attempt;
+  close(): void;
+}
+
+const KEEP_ALIVE_MS = 30_000;
+const CONNECT_TIMEOUT_MS = 1_000;
+const connectCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
+const timeoutCodes = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT']);
+
+function classify(error: Error): TargetFailure {
+  const code = (error as NodeJS.ErrnoException).code ?? '';
+  if (connectCodes.has(code)) return 'not-connected';
+  return timeoutCodes.has(code) ? 'timeout' : 'lost';
+}
+
+class CallHandler implements undici.Dispatcher.DispatchHandler, types.Attempt {
+  private readonly attemptId: string;
+
+  private readonly handler: TargetHandler;
+
+  private controller: undici.Dispatcher.DispatchController | undefined;
+
+  private isOver = false;
+
+  private isCancelled = false;
+
+  public constructor(attemptId: string, handler: TargetHandler) {
+    this.attemptId = attemptId;
+    this.handler = handler;
+  }
+
+  public onRequestStart(controller: undici.Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.isCancelled) controller.abort(new Error('cancelled'));
+  }
+
+  public onResponseStart(
+    controller: undici.Dispatcher.DispatchController,
+    status: number,
+    received: types.Headers,
+  ): void {
+    if (headers.readHeader(received, headers.headerNames.targetNotRun) === 'true') {
+      this.fail('refused-by-target');
+      return;
+    }
+    const echoed = headers.readHeader(received, headers.headerNames.requestId);
+    if (echoed && echoed !== this.attemptId) {
+      this.fail('crossed');
+      controller.abort(new Error('answer belongs to another call'));
+      return;
+    }
+    this.handler.onHead({ status, headers: received });
+  }
+
+  public onResponseData(_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+    if (!this.isOver) this.handler.onData(chunk);
+  }
+
+  public onResponseEnd(): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    this.handler.onEnd();
+  }
+
+  public onResponseError(_controller: undici.Dispatcher.DispatchController, error: Error): void {
+    this.fail(classify(error));
+  }
+
+  public cancel(): void {
+    this.isCancelled = true;
+    this.controller?.abort(new Error('cancelled'));
+  }
+
+  public pause(): void {
+    this.controller?.pause();
+  }
+
+  public resume(): void {
+    this.controller?.resume();
+  }
+
+  private fail(failure: TargetFailure): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    this.handler.onFailure(failure);
+  }
+}
+
+/**
+ * Creates the connections to a target; at most `connections` are open at once.
+ *
+ * @example
+ * const target = createTargetConnection('http://127.0.0.1:8080', 100);
+ */
+export function createTargetConnection(origin: string, connections: number): TargetConnection {
+  const pool = new undici.Pool(origin, {
+    connections,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+  });
+  return {
+    send(request, remainingMs, handler) {
+      const call = new CallHandler(request.attemptId, handler);
+      pool.dispatch(
+        {
+          method: request.method,
+          path: request.path,
+          headers: {
+            ...request.headers,
+            [headers.headerNames.requestId]: request.attemptId,
+            [headers.headerNames.requestTimeout]: String(Math.floor(remainingMs)),
+            [headers.headerNames.customer]: request.customer,
+          },
+          body: request.body ?? null,
+          headersTimeout: remainingMs,
+          bodyTimeout: remainingMs,
+        },
+        call,
+      );
+      return call;
+    },
+    close() {
+      pool.destroy().catch(() => undefined);
+    },
+  };
+}
--- /dev/null
+++ b/packages/proxy/src/process.ts
@@ -0,0 +1,241 @@
+/** Puts the tasks of one proxy together, and starts and stops them in order. */
+import * as http from 'node:http';
+import * as timers from 'node:timers/promises';
+import * as core from '@figshed/core';
+import * as runtime from '@figshed/runtime';
+import * as uuid from 'uuid';
+import * as busModule from './bus.js';
+import * as remoteAttempts from './calls/remote-attempts.js';
+import type * as types from './calls/types.js';
+import type * as context from './context.js';
+import * as egressHttp from './egress/egress-http.js';
+import * as callRunner from './ingress/call-runner.js';
+import * as callerServer from './ingress/caller-server.js';
+import type * as schema from './settings/schema.js';
+import * as configTask from './tasks/config-task.js';
+import * as delegateTask from './tasks/delegate-task.js';
+import * as gossipTask from './tasks/gossip-task.js';
+import * as healthTask from './tasks/health-task.js';
+import * as operatorMethods from './tasks/operator-methods.js';
+import * as orderTask from './tasks/order-task.js';
+import * as targetTask from './tasks/target-task.js';
+
+/** A proxy that runs in this process. */
+export interface ProxyProcess {
+  start(): Promise<void>;
+  /** Stops without cutting calls in flight, within the bound that the settings give. */
+  stop(): Promise<void>;
+}
+
+const ASK_TIMEOUT_MS = 500;
+const SHARE_INTERVAL_MS = 250;
+const IN_FLIGHT_POLL_MS = 20;
+const SEED_RANGE = 0x7fffffff;
+const PEER_KEEP_ALIVE_MS = 60_000;
+
+function createContext(settings: schema.Settings, write: (text: string) => void): context.Context {
+  const clock = runtime.systemClock;
+  const log = runtime.createLogger({
+    level: settings.log.level,
+    common: { node: settings.id },
+    now: clock.now,
+    write,
+  });
+  const metrics = runtime.createMetrics(settings.metrics);
+  const reportError = (event: string, error: unknown): void => {
+    const isInvariant = error instanceof core.InvariantError;
+    metrics.increment(isInvariant ? 'invariant-failures' : 'errors');
+    log.error(isInvariant ? 'invariant-failed' : 'error', {
+      during: event,
+      message: error instanceof Error ? error.message : String(error),
+      stack: error instanceof Error ? error.stack : undefined,
+    });
+  };
+  return {
+    settings,
+    instance: uuid.v7(),
+    clock,
+    random: runtime.createRandom(core.computeHash32(`${settings.id}|${clock.now()}`) % SEED_RANGE),
+    log,
+    metrics,
+    bus: busModule.createBus(),
+    platform: runtime.createLogClient({
+      url: settings.platform.logUrl,
+      timeoutMs: settings.platform.timeoutMs,
+    }),
+    peers: runtime.createPeerClient(settings.fleetKey),
+    peerServer: runtime.createPeerServer(settings.fleetKey, (error) => reportError('rpc', error)),
+    locate: ({ dataCentre, address, peerPort }) => ({
+      address: settings.gateways[dataCentre]?.address ?? address,
+      port: peerPort,
+    }),
+    reportError,
+  };
+}
+
+/**
+ * Creates a proxy from its settings.
+ *
+ * @example
+ * const proxy = createProxyProcess(settings, (text) => process.stdout.write(text));
+ * await proxy.start();
+ */
+export function createProxyProcess(
+  settings: schema.Settings,
+  write: (text: string) => void,
+): ProxyProcess {
+  const ctx = createContext(settings, write);
+  const { clock, log, bus } = ctx;
+  const health = healthTask.createHealthTask(ctx);
+  const gossip = gossipTask.createGossipTask(ctx);
+  const target = targetTask.createTargetTask(ctx, health.isQuarantined);
+  const config = configTask.createConfigTask(ctx, gossip);
+  const delegate = delegateTask.createDelegateTask(ctx, gossip, config);
+  const orders = orderTask.createOrderTask(ctx, gossip);
+  const remote = remoteAttempts.createRemoteAttempts(ctx);
+  const table = core.createTargetTable({
+    dataCentre: settings.dataCentre,
+    region: settings.region,
+    choice: {
+      ...core.choiceDefaults,
+      slowStartMs: settings.routing.slowStartMs,
+      spillLoad: settings.routing.spillLoad,
+    },
+    circuit: { ...core.circuitDefaults, openMs: settings.routing.circuitOpenMs },
+    random: ctx.random,
+  });
+  health.connect(gossip, delegate);
+
+  const askPeer = (member: core.Member, attemptId: string): Promise<types.AttemptState> =>
+    ctx.peers.requestFresh(
+      ctx.locate(member.info),
+      'calls.ask',
+      { attemptId, instance: member.info.instance },
+      ASK_TIMEOUT_MS,
+    ) as Promise<types.AttemptState>;
+
+  const runner = callRunner.createCallRunner(ctx, {
+    table,
+    budget: core.createRetryBudget({
+      ...core.retryBudgetDefaults,
+      ratio: settings.routing.retryRatio,
+    }),
+    getMember: (id) => gossip.membership.get(id),
+    isLocal: (id) => id === settings.id,
+    runLocal: (request, handler) => target.egress.run(request, handler),
+    runRemote: (member, request, handler) => remote.run(member, request, handler),
+    replaceConnections: (member) => remote.replaceConnections(member),
+    ask: askPeer,
+  });
+  const callers = callerServer.createCallerServer(ctx, {
+    getConfig: () => config.current(),
+    runner,
+    orders,
+    isQuarantined: health.isQuarantined,
+  });
+
+  const peerHttp = http.createServer(
+    { keepAliveTimeout: PEER_KEEP_ALIVE_MS },
+    (request, response) => {
+      if (request.url === '/rpc') ctx.peerServer.handle(request, response);
+      else if (ctx.peerServer.isFromFleet(request)) {
+        egressHttp.handleAttempt(ctx, target.egress, request, response);
+      } else {
+        request.resume();
+        response.writeHead(401).end();
+      }
+    },
+  );
+
+  const updateShare = (): void => {
+    const compiled = config.current();
+    if (!compiled) return;
+    const dataCentres = compiled.dataCentres.length || 1;
+    const isListed =
+      compiled.dataCentres.length === 0 || compiled.dataCentres.includes(settings.dataCentre);
+    const members = gossip.membership
+      .list()
+      .filter(({ info, status }) => info.dataCentre === settings.dataCentre && status !== 'left');
+    callers.limits.setShare(isListed ? 1 / (dataCentres * Math.max(1, members.length)) : 0);
+  };
+
+  bus.on('member-changed', ({ member }) => table.setMember(member, clock.monotonic()));
+  ctx.peerServer.addMethods({
+    'calls.ask': (params) => {
+      const { attemptId, instance } = params as { attemptId: string; instance: string };
+      return target.egress.ask(String(attemptId), String(instance));
+    },
+    ...operatorMethods.createOperatorMethods(ctx, {
+      gossip,
+      config,
+      orders,
+      health,
+      callers,
+      delegate,
+      egress: target.egress,
+    }),
+  });
+
+  let shareTimer: NodeJS.Timeout | undefined;
+  let isStopping = false;
+
+  const waitForCalls = async (): Promise<void> => {
+    const until = clock.monotonic() + settings.stop.graceMs;
+    while (callers.inFlight() + target.egress.inFlight() > 0 && clock.monotonic() < until) {
+      // eslint-disable-next-line no-await-in-loop
+      await timers.setTimeout(IN_FLIGHT_POLL_MS);
+    }
+  };
+
+  return {
+    async start() {
+      const { listen } = settings;
+      await new Promise<void>((resolve, reject) => {
+        peerHttp.once('error', reject).listen(listen.peerPort, listen.address, resolve);
+      });
+      await gossip.start();
+      await config.start();
+      await target.start();
+      await delegate.start();
+      await orders.start();
+      // eslint-disable-next-line no-await-in-loop -- one wait after the other
+      while (!isStopping && !(await config.waitForFirst(settings.startTimeoutMs))) {
+        log.warn('no-configuration', { waitedMs: settings.startTimeoutMs });
+      }
+      if (isStopping) return;
+      updateShare();
+      shareTimer = setInterval(updateShare, SHARE_INTERVAL_MS);
+      await callers.start();
+      gossip.setInfo({ ready: true });
+      log.info('ready', { version: config.current()?.version });
+    },
+    async stop() {
+      isStopping = true;
+      log.info('stopping', { inFlight: callers.inFlight() + target.egress.inFlight() });
+      gossip.setInfo({ ready: false });
+      gossip.advertise(settings.membership.maxPiggyback);
+      callers.drain();
+      await timers.setTimeout(settings.stop.announceMs);
+      target.egress.drain();
+      const closing = callers.stop();
+      await waitForCalls();
+      await closing;
+      await orders.stop();
+      gossip.leave();
+      await delegate.stop();
+      await config.stop();
+      clearInterval(shareTimer);
+      await timers.setTimeout(IN_FLIGHT_POLL_MS);
+      await gossip.stop();
+      await target.stop();
+      remote.close();
+      peerHttp.close();
+      peerHttp.closeAllConnections();
+      await ctx.peers.close();
+      await ctx.platform.close();
+      ctx.metrics.close();
+      log.info('stopped');
+      log.flush();
+    },
+  };
+}
--- /dev/null
+++ b/packages/proxy/src/settings/resolve.ts
@@ -0,0 +1,41 @@
+/** Loads a settings file once, at the edge of the program. */
+import * as fs from 'node:fs';
+import * as runtime from '@figshed/runtime';
+import * as schema from './schema.js';
+
+type Environment = Readonly<Record<string, string | undefined>>;
+
+function overrideSecrets(value: unknown, environment: Environment): unknown {
+  const fleetKey = environment.FIGSHED_FLEET_KEY;
+  if (fleetKey === undefined || value === null || typeof value !== 'object') return value;
+  return { ...value, fleetKey };
+}
+
+/**
+ * Reads, checks and completes a settings file.
+ *
+ * @throws DocumentError with every finding and its place.
+ * @example
+ * const settings = resolveSettings('proxy.jsonc', process.env);
+ */
+export function resolveSettings(file: string, environment: Environment): schema.Settings {
+  let text: string;
+  try {
+    text = fs.readFileSync(file, 'utf8');
+  } catch (error) {
+    const message = `cannot be read: ${(error as NodeJS.ErrnoException).code}`;
+    throw new runtime.DocumentError([{ file, line: 1, column: 1, path: '', message }]);
+  }
+  const document = runtime.parseDocument(file, text);
+  const isParsed = document.findings.length === 0;
+  const settings = isParsed
+    ? runtime.checkValue(
+        document,
+        [],
+        schema.settingsSchema,
+        overrideSecrets(document.value, environment),
+      )
+    : undefined;
+  if (!settings || document.findings.length > 0) throw new runtime.DocumentError(document.findings);
+  return settings;
+}
--- /dev/null
+++ b/packages/proxy/src/tasks/operator-methods.ts
@@ -0,0 +1,143 @@
+/** Methods by which operators and other processes look at a proxy. */
+import * as core from '@figshed/core';
+import * as zod from 'zod';
+import type * as runtime from '@figshed/runtime';
+import type * as context from '../context.js';
+import type * as egressModule from '../egress/egress.js';
+import type * as callerServer from '../ingress/caller-server.js';
+import type * as configTask from './config-task.js';
+import type * as delegateTask from './delegate-task.js';
+import type * as gossipTask from './gossip-task.js';
+import type * as healthTask from './health-task.js';
+import type * as orderTask from './order-task.js';
+
+const { z } = zod;
+
+const STATUS_TIMEOUT_MS = 1_000;
+const MAX_PARALLEL = 32;
+
+/** The tasks that the methods read. */
+export interface OperatorParts {
+  gossip: gossipTask.GossipTask;
+  config: configTask.ConfigTask;
+  orders: orderTask.OrderTask;
+  health: healthTask.HealthTask;
+  callers: callerServer.CallerServer;
+  delegate: delegateTask.DelegateTask;
+  egress: egressModule.Egress;
+}
+
+/** What one proxy tells about itself. */
+export interface ProxyStatus {
+  id: string;
+  instance: string;
+  dataCentre: string;
+  ready: boolean;
+  version: number;
+  position: number;
+  digest: string;
+  inFlight: number;
+  target: core.TargetInfo | null;
+  load: core.LoadReport;
+  orders: ReturnType<orderTask.OrderTask['stats']>;
+  quarantine: ReturnType<core.Quarantine['list']>;
+  members: number;
+  unreachableDataCentres: string[];
+  metrics: Record<string, number>;
+  memoryBytes: number;
+  cpuMs: number;
+  controlBytes: { sent: number; received: number };
+}
+
+const MICROSECONDS_PER_MS = 1_000;
+
+/**
+ * Creates the table of methods.
+ *
+ * @example
+ * peerServer.addMethods(createOperatorMethods(context, parts));
+ */
+export function createOperatorMethods(
+  ctx: context.Context,
+  parts: OperatorParts,
+): Record<string, runtime.PeerMethod> {
+  const { settings, metrics, instance, peers } = ctx;
+  const { gossip, config, orders, health, callers, delegate, egress } = parts;
+
+  const readStatus = (): ProxyStatus => {
+    const self = gossip.membership.self();
+    const compiled = config.current();
+    const cpu = process.cpuUsage();
+    const datagrams = gossip.traffic();
+    const requests = peers.traffic();
+    const dataCentres = [...new Set(gossip.membership.list().map(({ info }) => info.dataCentre))];
+    return {
+      id: settings.id,
+      instance,
+      dataCentre: settings.dataCentre,
+      ready: self.info.ready,
+      version: compiled?.version ?? -1,
+      position: compiled?.position ?? -1,
+      digest: compiled?.digest ?? '',
+      inFlight: callers.inFlight() + egress.inFlight(),
+      target: self.info.target,
+      load: egress.load(),
+      orders: orders.stats(),
+      quarantine: health.list(),
+      members: gossip.membership.list().filter(({ status }) => status === 'alive').length,
+      unreachableDataCentres: dataCentres.filter((name) => !delegate.isReachable(name)),
+      metrics: metrics.read(),
+      memoryBytes: process.memoryUsage().rss,
+      cpuMs: (cpu.user + cpu.system) / MICROSECONDS_PER_MS,
+      controlBytes: {
+        sent: datagrams.sent + requests.sent,
+        received: datagrams.received + requests.received,
+      },
+    };
+  };
+
+  const readPeer = async (member: core.Member): Promise<ProxyStatus | { id: string }> => {
+    if (member.id === settings.id) return readStatus();
+    const peer = ctx.locate(member.info);
+    try {
+      return (await peers.request(peer, 'status.get', {}, STATUS_TIMEOUT_MS)) as ProxyStatus;
+    } catch {
+      return { id: member.id };
+    }
+  };
+
+  const readFleet = async (): Promise<(ProxyStatus | { id: string })[]> => {
+    const members = gossip.membership
+      .list()
+      .filter(({ status }) => status === 'alive' || status === 'suspect');
+    const answers: (ProxyStatus | { id: string })[] = [];
+    for (let at = 0; at < members.length; at += MAX_PARALLEL) {
+      const group = members.slice(at, at + MAX_PARALLEL);
+      // Groups follow one another, so that a large fleet does not answer all at once.
+      // eslint-disable-next-line no-await-in-loop
+      answers.push(...(await Promise.all(group.map(readPeer))));
+    }
+    return answers;
+  };
+
+  return {
+    'status.get': readStatus,
+    'fleet.status': readFleet,
+    'config.get': () => config.current()?.state ?? core.createState(),
+    'contract.explain': (params) => {
+      const { customer } = z.object({ customer: z.string() }).parse(params);
+      const compiled = config.current();
+      const contract = compiled?.contracts.get(customer);
+      return {
+        proxy: settings.id,
+        version: compiled?.version ?? -1,
+        contract: contract ? { ...contract, keyDigests: contract.keyDigests.length } : null,
+        limits: callers.limits.describe(customer),
+      };
+    },
+    'decision.get': (params) => {
+      const { id } = z.object({ id: z.string() }).parse(params);
+      return config.replica.state().decisions.find((decision) => decision.id === id) ?? null;
+    },
+  };
+}
--- /dev/null
+++ b/packages/runtime/src/index.ts
@@ -0,0 +1,35 @@
+/** Settings, logs, metrics, clients and clocks that surround the core. */
+export { createRandom, systemClock } from './clock.js';
+export {
+  checkValue,
+  computePlace,
+  findPlace,
+  parseDocument,
+  type ParsedDocument,
+} from './documents.js';
+export {
+  DocumentError,
+  LogResultUnknownError,
+  LogUnavailableError,
+  PeerError,
+  formatFinding,
+  type FileFinding,
+} from './errors.js';
+export {
+  createLogClient,
+  readAll,
+  type LogClient,
+  type LogClientOptions,
+  type ReadAnswer,
+} from './log-client.js';
+export {
+  createLogger,
+  formatLine,
+  formatValue,
+  type LogFields,
+  type LogLevel,
+  type Logger,
+} from './logger.js';
+export { createMetrics, type Metrics, type MetricsTarget } from './metrics.js';
+export { createPeerClient, type PeerAddress, type PeerClient } from './peer-client.js';
+export { createPeerServer, type PeerMethod, type PeerServer } from './peer-server.js';
--- /dev/null
+++ b/packages/runtime/src/log-client.ts
@@ -0,0 +1,134 @@
+/** Client of the platform's append-only log, over HTTP as docs/platform-log.md describes it. */
+import * as undici from 'undici';
+import * as zod from 'zod';
+import * as errors from './errors.js';
+
+const { z } = zod;
+
+const appendAnswerSchema = z.object({ offset: z.number().int() });
+const readAnswerSchema = z.object({
+  /** Oldest offset that is retained. */
+  first: z.number().int(),
+  /** Offset that the next record will get. */
+  head: z.number().int(),
+  records: z.array(z.object({ offset: z.number().int(), body: z.unknown() })),
+});
+
+export type ReadAnswer = zod.infer<typeof readAnswerSchema>;
+
+/** Reads and appends records. */
+export interface LogClient {
+  /**
+   * Appends a record and returns its offset.
+   *
+   * @throws LogUnavailableError when nothing was appended.
+   * @throws LogResultUnknownError when the record may have been appended.
+   */
+  append(stream: string, body: unknown): Promise<number>;
+  /**
+   * Reads records from an offset on; waits up to `waitMs` for the first one.
+   *
+   * @throws LogUnavailableError when the log does not answer.
+   */
+  read(stream: string, from: number, waitMs: number, signal?: AbortSignal): Promise<ReadAnswer>;
+  close(): Promise<void>;
+}
+
+/** Settings of the client; durations in milliseconds. */
+export interface LogClientOptions {
+  url: string;
+  timeoutMs: number;
+}
+
+const MAX_CONNECTIONS = 16;
+const HTTP_OK = 200;
+const HTTP_CREATED = 201;
+const CONNECT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
+
+function readCode(error: unknown): string {
+  return (error as { code?: string }).code ?? (error as Error).name;
+}
+
+/**
+ * Creates a client of the log.
+ *
+ * @example
+ * const log = createLogClient({ url: 'http://127.0.0.1:7000', timeoutMs: 1000 });
+ * const offset = await log.append('config', change);
+ */
+export function createLogClient(options: LogClientOptions): LogClient {
+  const { origin, pathname } = new URL(options.url);
+  const base = pathname.replace(/\/$/, '');
+  const pool = new undici.Pool(origin, {
+    connections: MAX_CONNECTIONS,
+    connect: { timeout: options.timeoutMs },
+  });
+  const formatPath = (stream: string) => `${base}/streams/${encodeURIComponent(stream)}/records`;
+  return {
+    async append(stream, body) {
+      try {
+        const answer = await pool.request({
+          method: 'POST',
+          path: formatPath(stream),
+          headers: { 'content-type': 'application/json' },
+          body: JSON.stringify(body),
+          headersTimeout: options.timeoutMs,
+          bodyTimeout: options.timeoutMs,
+          signal: AbortSignal.timeout(options.timeoutMs),
+        });
+        if (answer.statusCode !== HTTP_CREATED) {
+          await answer.body.dump();
+          throw new errors.LogUnavailableError(`log refused the append: ${answer.statusCode}`);
+        }
+        return appendAnswerSchema.parse(await answer.body.json()).offset;
+      } catch (error) {
+        if (error instanceof errors.LogUnavailableError) throw error;
+        const code = readCode(error);
+        if (CONNECT_CODES.has(code)) throw new errors.LogUnavailableError(`log: ${code}`);
+        throw new errors.LogResultUnknownError(`answer of the append was lost: ${code}`);
+      }
+    },
+    async read(stream, from, waitMs, signal) {
+      const timeoutMs = waitMs + options.timeoutMs;
+      const timeout = AbortSignal.timeout(timeoutMs);
+      try {
+        const answer = await pool.request({
+          method: 'GET',
+          path: `${formatPath(stream)}?from=${from}&waitMs=${waitMs}`,
+          headersTimeout: timeoutMs,
+          bodyTimeout: timeoutMs,
+          signal: signal ? AbortSignal.any([signal, timeout]) : timeout,
+        });
+        if (answer.statusCode !== HTTP_OK) {
+          await answer.body.dump();
+          throw new errors.LogUnavailableError(`log refused the read: ${answer.statusCode}`);
+        }
+        return readAnswerSchema.parse(await answer.body.json());
+      } catch (error) {
+        if (error instanceof errors.LogUnavailableError) throw error;
+        throw new errors.LogUnavailableError(`log: ${readCode(error)}`);
+      }
+    },
+    close: () => pool.destroy(),
+  };
+}
+
+/**
+ * Reads every retained record of a stream.
+ *
+ * @example
+ * const { records } = await readAll(log, 'config', 0);
+ */
+export async function readAll(log: LogClient, stream: string, from: number): Promise<ReadAnswer> {
+  let answer = await log.read(stream, from, 0);
+  const records = [...answer.records];
+  while (answer.records.length > 0) {
+    const last = answer.records.at(-1);
+    if (!last || last.offset + 1 >= answer.head) break;
+    // Each page begins where the one before ended.
+    // eslint-disable-next-line no-await-in-loop
+    answer = await log.read(stream, last.offset + 1, 0);
+    records.push(...answer.records);
+  }
+  return { ...answer, records };
+}
--- /dev/null
+++ b/packages/runtime/src/logger.ts
@@ -0,0 +1,113 @@
+/** Logs one line of key=value pairs per event. */
+import * as tslog from 'tslog';
+
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
+
+/** Values of one event; undefined values are left out. */
+export type LogFields = Readonly<Record<string, string | number | boolean | null | undefined>>;
+
+/** Writes events; each level has its own function. */
+export type Logger = Record<LogLevel, (event: string, fields?: LogFields) => void> & {
+  /** Writes out what is still buffered. */
+  flush(): void;
+  isEnabled(level: LogLevel): boolean;
+};
+
+const tslogLevels: Record<LogLevel, number> = { debug: 2, info: 3, warn: 4, error: 5 };
+const FLUSH_INTERVAL_MS = 100;
+const MAX_VALUE_LENGTH = 1_000;
+const PLAIN_VALUE = /^[\w./:,;+@|-]+$/;
+const LINE_SEPARATORS = /[\u0085\u2028\u2029]/g;
+
+function escapeSeparator(char: string): string {
+  return `\\u${char.charCodeAt(0).toString(16).padStart(4, '0')}`;
+}
+
+/**
+ * Formats one value so that it stays on its line, whatever it holds.
+ *
+ * @example
+ * formatValue('two words'); // '"two words"'
+ */
+export function formatValue(value: string | number | boolean | null): string {
+  const text = String(value).slice(0, MAX_VALUE_LENGTH);
+  if (PLAIN_VALUE.test(text)) return text;
+  return JSON.stringify(text).replaceAll(LINE_SEPARATORS, escapeSeparator);
+}
+
+/**
+ * Formats one event as a line without its line break.
+ *
+ * @example
+ * formatLine(0, 'info', 'start', { node: 'n1' }); // 'time=1970-01-01T00:00:00.000Z level=info event=start node=n1'
+ */
+export function formatLine(
+  at: number,
+  level: LogLevel,
+  event: string,
+  fields: LogFields = {},
+): string {
+  const pairs = Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([key, value]) => `${key}=${formatValue(value as string)}`);
+  const time = new Date(at).toISOString();
+  return [`time=${time}`, `level=${level}`, `event=${event}`, ...pairs].join(' ');
+}
+
+/** What a logger needs. */
+export interface LoggerOptions {
+  level: LogLevel;
+  /** Added to every line. */
+  common: LogFields;
+  now: () => number;
+  write: (text: string) => void;
+}
+
+/**
+ * Creates a logger that gathers lines and writes them in batches.
+ *
+ * @example
+ * const log = createLogger({ level: 'info', common: { node: 'n1' }, now: Date.now, write });
+ */
+export function createLogger(options: LoggerOptions): Logger {
+  let lines: string[] = [];
+  let timer: NodeJS.Timeout | undefined;
+  const flush = (): void => {
+    clearTimeout(timer);
+    timer = undefined;
+    if (lines.length === 0) return;
+    const text = `${lines.join('\n')}\n`;
+    lines = [];
+    options.write(text);
+  };
+  const minLevel = tslogLevels[options.level];
+  const logger = new tslog.Logger<unknown>({
+    type: 'hidden',
+    minLevel,
+    hideLogPositionForProduction: true,
+    overwrite: {
+      mask: (args) => args,
+      toLogObj: (args) => ({ line: args[0] }),
+      addMeta: (logObj) => logObj as never,
+    },
+    attachedTransports: [
+      (logObj) => {
+        lines.push((logObj as unknown as { line: string }).line);
+        timer ??= setTimeout(flush, FLUSH_INTERVAL_MS).unref();
+      },
+    ],
+  });
+  const emit = (level: LogLevel, event: string, fields?: LogFields): void => {
+    if (tslogLevels[level] < minLevel) return;
+    const line = formatLine(options.now(), level, event, { ...options.common, ...fields });
+    logger.log(tslogLevels[level], level, line);
+  };
+  return {
+    debug: (event, fields) => emit('debug', event, fields),
+    info: (event, fields) => emit('info', event, fields),
+    warn: (event, fields) => emit('warn', event, fields),
+    error: (event, fields) => emit('error', event, fields),
+    flush,
+    isEnabled: (level) => tslogLevels[level] >= minLevel,
+  };
+}
--- /dev/null
+++ b/packages/runtime/src/metrics.ts
@@ -0,0 +1,58 @@
+/** Counters, gauges and timings by StatsD, and the same counters for status pages. */
+import * as hotShots from 'hot-shots';
+
+/** Records measurements of one process. */
+export interface Metrics {
+  increment(name: string, by?: number): void;
+  gauge(name: string, value: number): void;
+  timing(name: string, milliseconds: number): void;
+  /** Counters and gauges since the start. */
+  read(): Record<string, number>;
+  close(): void;
+}
+
+/** Where StatsD datagrams go. */
+export interface MetricsTarget {
+  address: string;
+  port: number;
+}
+
+const MAX_BUFFER_BYTES = 1_400;
+const FLUSH_INTERVAL_MS = 1_000;
+
+/**
+ * Creates metrics; without a target they are only kept in memory.
+ *
+ * @example
+ * const metrics = createMetrics({ address: '127.0.0.1', port: 8125 });
+ */
+export function createMetrics(target: MetricsTarget | null): Metrics {
+  const values = new Map<string, number>();
+  const client = target
+    ? new hotShots.StatsD({
+        host: target.address,
+        port: target.port,
+        prefix: 'figshed.',
+        maxBufferSize: MAX_BUFFER_BYTES,
+        bufferFlushInterval: FLUSH_INTERVAL_MS,
+        errorHandler: () => values.set('metrics.errors', (values.get('metrics.errors') ?? 0) + 1),
+      })
+    : undefined;
+  return {
+    increment(name, by = 1) {
+      values.set(name, (values.get(name) ?? 0) + by);
+      client?.increment(name, by);
+    },
+    gauge(name, value) {
+      values.set(name, value);
+      client?.gauge(name, value);
+    },
+    timing(name, milliseconds) {
+      client?.timing(name, milliseconds);
+    },
+    read: () => Object.fromEntries(values),
+    close() {
+      client?.close(() => undefined);
+    },
+  };
+}
--- /dev/null
+++ b/packages/runtime/src/peer-client.ts
@@ -0,0 +1,116 @@
+/** JSON-RPC calls between the system's own processes, as MessagePack over HTTP. */
+import * as msgpack from '@msgpack/msgpack';
+import * as jsonRpc from 'json-rpc-2.0';
+import * as undici from 'undici';
+import * as errors from './errors.js';
+
+/** Address of a peer's control port. */
+export interface PeerAddress {
+  address: string;
+  port: number;
+}
+
+/** Calls methods at peers. */
+export interface PeerClient {
+  /** @throws PeerError when the peer does not answer in time or refuses. */
+  request(peer: PeerAddress, method: string, params: unknown, timeoutMs: number): Promise<unknown>;
+  /** The same over a connection of its own, for when open connections are in doubt. */
+  requestFresh(
+    peer: PeerAddress,
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<unknown>;
+  /** Bytes sent and received so far. */
+  traffic(): { sent: number; received: number };
+  close(): Promise<void>;
+}
+
+const CONNECTIONS_PER_PEER = 2;
+const KEEP_ALIVE_MS = 10_000;
+const HTTP_OK = 200;
+/** Header and framing bytes of one exchange, counted with its body. */
+const EXCHANGE_OVERHEAD_BYTES = 350;
+
+/**
+ * Creates a client that proves itself with the fleet key.
+ *
+ * @example
+ * const peers = createPeerClient(fleetKey);
+ * await peers.request({ address: '127.0.0.1', port: 7101 }, 'status.get', {}, 1000);
+ */
+export function createPeerClient(fleetKey: string): PeerClient {
+  const pools = new Map<string, undici.Pool>();
+  const traffic = { sent: 0, received: 0 };
+
+  const getPool = (origin: string): undici.Pool => {
+    const known = pools.get(origin);
+    if (known) return known;
+    const pool = new undici.Pool(origin, {
+      connections: CONNECTIONS_PER_PEER,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+    });
+    pools.set(origin, pool);
+    return pool;
+  };
+
+  const send = async (
+    dispatcher: undici.Dispatcher,
+    payload: unknown,
+    timeoutMs: number,
+  ): Promise<unknown> => {
+    const body = msgpack.encode(payload, { ignoreUndefined: true });
+    traffic.sent += body.byteLength + EXCHANGE_OVERHEAD_BYTES;
+    const answer = await dispatcher.request({
+      method: 'POST',
+      path: '/rpc',
+      headers: { authorization: `Fleet ${fleetKey}`, 'content-type': 'application/msgpack' },
+      body,
+      origin: '',
+      headersTimeout: timeoutMs,
+      bodyTimeout: timeoutMs,
+      signal: AbortSignal.timeout(timeoutMs),
+    });
+    const bytes = await answer.body.arrayBuffer();
+    traffic.received += bytes.byteLength + EXCHANGE_OVERHEAD_BYTES;
+    if (answer.statusCode !== HTTP_OK) throw new errors.PeerError(`status ${answer.statusCode}`);
+    return msgpack.decode(new Uint8Array(bytes));
+  };
+
+  const request = async (
+    dispatcher: undici.Dispatcher,
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<unknown> => {
+    const client = new jsonRpc.JSONRPCClient(async (payload) => {
+      client.receive((await send(dispatcher, payload, timeoutMs)) as jsonRpc.JSONRPCResponse);
+    });
+    try {
+      return await client.request(method, params);
+    } catch (error) {
+      if (error instanceof errors.PeerError) throw error;
+      throw new errors.PeerError(`${method}: ${(error as Error).message}`);
+    }
+  };
+
+  const formatOrigin = ({ address, port }: PeerAddress) => `http://${address}:${port}`;
+
+  return {
+    request: (peer, method, params, timeoutMs) =>
+      request(getPool(formatOrigin(peer)), method, params, timeoutMs),
+    async requestFresh(peer, method, params, timeoutMs) {
+      const client = new undici.Client(formatOrigin(peer), { connect: { timeout: timeoutMs } });
+      try {
+        return await request(client, method, params, timeoutMs);
+      } finally {
+        client.destroy().catch(() => undefined);
+      }
+    },
+    traffic: () => ({ ...traffic }),
+    async close() {
+      await Promise.all([...pools.values()].map((pool) => pool.destroy()));
+      pools.clear();
+    },
+  };
+}
--- /dev/null
+++ b/packages/runtime/src/peer-server.ts
@@ -0,0 +1,97 @@
+/** The receiving side of JSON-RPC between the system's own processes. */
+import * as crypto from 'node:crypto';
+import type * as http from 'node:http';
+import * as msgpack from '@msgpack/msgpack';
+import * as jsonRpc from 'json-rpc-2.0';
+
+/** Handles one method's parameters, which the handler checks itself. */
+export type PeerMethod = (params: unknown) => unknown;
+
+/** Answers JSON-RPC requests by a table of methods. */
+export interface PeerServer {
+  addMethods(methods: Readonly<Record<string, PeerMethod>>): void;
+  /** Answers one HTTP request to `/rpc`. */
+  handle(request: http.IncomingMessage, response: http.ServerResponse): void;
+  /** Tells whether the request carries the fleet key. */
+  isFromFleet(request: http.IncomingMessage): boolean;
+}
+
+const MAX_BODY_BYTES = 16_000_000;
+const HTTP_OK = 200;
+const HTTP_BAD_REQUEST = 400;
+const HTTP_UNAUTHORIZED = 401;
+const HTTP_TOO_LARGE = 413;
+
+function digest(text: string): Buffer {
+  return crypto.createHash('sha256').update(text).digest();
+}
+
+function refuse(response: http.ServerResponse, status: number): void {
+  response.writeHead(status).end();
+}
+
+/**
+ * Creates a server that accepts only holders of the fleet key.
+ *
+ * @example
+ * const server = createPeerServer(fleetKey, (error) => log.warn('rpc-failed', { error: error.message }));
+ * server.addMethods({ 'status.get': () => status });
+ */
+export function createPeerServer(
+  fleetKey: string,
+  reportError: (error: Error) => void,
+): PeerServer {
+  const expected = digest(`Fleet ${fleetKey}`);
+  const server = new jsonRpc.JSONRPCServer({
+    errorListener: (message, data) =>
+      reportError(data instanceof Error ? data : new Error(String(message))),
+  });
+
+  const isFromFleet = (request: http.IncomingMessage): boolean =>
+    crypto.timingSafeEqual(digest(request.headers.authorization ?? ''), expected);
+
+  const answer = async (body: Buffer, response: http.ServerResponse): Promise<void> => {
+    let payload: jsonRpc.JSONRPCRequest;
+    try {
+      payload = msgpack.decode(body) as jsonRpc.JSONRPCRequest;
+    } catch {
+      refuse(response, HTTP_BAD_REQUEST);
+      return;
+    }
+    const result = await server.receive(payload);
+    const bytes = msgpack.encode(result, { ignoreUndefined: true });
+    response
+      .writeHead(HTTP_OK, {
+        'content-type': 'application/msgpack',
+        'content-length': bytes.byteLength,
+      })
+      .end(bytes);
+  };
+
+  return {
+    addMethods(methods) {
+      Object.entries(methods).forEach(([name, method]) =>
+        server.addMethod(name, (params: unknown) => method(params)),
+      );
+    },
+    handle(request, response) {
+      if (!isFromFleet(request)) {
+        request.resume();
+        refuse(response, HTTP_UNAUTHORIZED);
+        return;
+      }
+      const chunks: Buffer[] = [];
+      let size = 0;
+      request.on('data', (chunk: Buffer) => {
+        size += chunk.byteLength;
+        if (size <= MAX_BODY_BYTES) chunks.push(chunk);
+      });
+      request.on('error', () => response.destroy());
+      request.on('end', () => {
+        if (size > MAX_BODY_BYTES) refuse(response, HTTP_TOO_LARGE);
+        else answer(Buffer.concat(chunks), response).catch(() => response.destroy());
+      });
+    },
+    isFromFleet,
+  };
+}
--- /dev/null
+++ b/packages/stand-ins/src/log/log-server.ts
@@ -0,0 +1,215 @@
+/** The platform's log as a process of its own, with switches for its failures. */
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as timers from 'node:timers/promises';
+import * as stores from './log-store.js';
+
+/** What goes wrong; every switch is off at the start. */
+export interface LogFaults {
+  /** Refuses every request. */
+  outage: boolean;
+  /** Delays every answer, in milliseconds. */
+  slowMs: number;
+  /** Share of appends whose answer is lost after they took effect. */
+  lostAnswers: number;
+  /** Data centres whose requests are refused; a data centre reads below `/from/NAME`. */
+  cutOff: string[];
+  /** Delay of each data centre's answers, in milliseconds. */
+  delays: Record<string, number>;
+}
+
+/** Counts since the start. */
+export interface LogCounts {
+  appends: number;
+  reads: number;
+  refused: number;
+  lost: number;
+  readBytes: number;
+  appendBytes: number;
+}
+
+/** A running log service. */
+export interface LogServer {
+  port: number;
+  close(): Promise<void>;
+}
+
+const HTTP_OK = 200;
+const HTTP_CREATED = 201;
+const HTTP_BAD_REQUEST = 400;
+const HTTP_NOT_FOUND = 404;
+const HTTP_TOO_MANY = 429;
+const HTTP_UNAVAILABLE = 503;
+const MAX_WAIT_MS = 30_000;
+const RECORDS_PATH = /^(?:\/from\/([\w-]+))?\/streams\/([\w-]+)\/records$/;
+
+function answerJson(response: http.ServerResponse, status: number, value: unknown): number {
+  const body = JSON.stringify(value);
+  response.writeHead(status, { 'content-type': 'application/json' }).end(body);
+  return body.length;
+}
+
+async function readBody(request: http.IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  request.on('data', (chunk: Buffer) => chunks.push(chunk));
+  await new Promise((resolve, reject) => {
+    request.on('end', resolve).on('error', reject);
+  });
+  return Buffer.concat(chunks).toString();
+}
+
+/**
+ * Starts the log service. Faults are set by `PUT /faults`, counts read by `GET /counts`.
+ *
+ * @example
+ * const log = await startLogServer(0, { retentionMs: 60_000, appendsPerSecond: 400, maxPageRecords: 500 });
+ */
+export async function startLogServer(
+  port: number,
+  options: stores.LogStoreOptions,
+): Promise<LogServer> {
+  const store = stores.createLogStore(options);
+  const counts: LogCounts = {
+    appends: 0,
+    reads: 0,
+    refused: 0,
+    lost: 0,
+    readBytes: 0,
+    appendBytes: 0,
+  };
+  let faults: LogFaults = { outage: false, slowMs: 0, lostAnswers: 0, cutOff: [], delays: {} };
+  let credit = 0;
+  const waiting = new Map<string, Set<() => void>>();
+
+  const wake = (stream: string): void => {
+    const wakers = waiting.get(stream);
+    waiting.delete(stream);
+    wakers?.forEach((waker) => waker());
+  };
+
+  const wakeAll = (): void => [...waiting.keys()].forEach(wake);
+
+  const waitForRecord = (stream: string, waitMs: number): Promise<void> =>
+    new Promise((resolve) => {
+      const wakers = waiting.get(stream) ?? new Set();
+      waiting.set(stream, wakers);
+      const watch: { timer?: NodeJS.Timeout } = {};
+      const finish = (): void => {
+        clearTimeout(watch.timer);
+        wakers.delete(finish);
+        resolve();
+      };
+      watch.timer = setTimeout(finish, waitMs);
+      wakers.add(finish);
+    });
+
+  const isRefused = (dataCentre: string | undefined): boolean =>
+    faults.outage || (dataCentre !== undefined && faults.cutOff.includes(dataCentre));
+
+  const handleAppend = async (
+    stream: string,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> => {
+    const text = await readBody(request);
+    let body: unknown;
+    try {
+      body = JSON.parse(text);
+    } catch {
+      answerJson(response, HTTP_BAD_REQUEST, { error: 'body is not JSON' });
+      return;
+    }
+    const offset = store.append(stream, body, Date.now());
+    if (offset === undefined) {
+      counts.refused += 1;
+      answerJson(response, HTTP_TOO_MANY, { error: 'append rate exceeded' });
+      return;
+    }
+    counts.appends += 1;
+    counts.appendBytes += text.length;
+    wake(stream);
+    credit += faults.lostAnswers;
+    if (credit >= 1) {
+      credit -= 1;
+      counts.lost += 1;
+      request.socket.destroy();
+      return;
+    }
+    answerJson(response, HTTP_CREATED, { offset });
+  };
+
+  const handleRead = async (
+    stream: string,
+    query: URLSearchParams,
+    dataCentre: string | undefined,
+    response: http.ServerResponse,
+  ): Promise<void> => {
+    const from = Number(query.get('from') ?? 0);
+    const waitMs = Math.min(MAX_WAIT_MS, Number(query.get('waitMs') ?? 0));
+    counts.reads += 1;
+    if (store.read(stream, from, Date.now()).head <= from && waitMs > 0) {
+      await waitForRecord(stream, waitMs);
+    }
+    if (isRefused(dataCentre)) {
+      counts.refused += 1;
+      answerJson(response, HTTP_UNAVAILABLE, { error: 'outage' });
+      return;
+    }
+    counts.readBytes += answerJson(response, HTTP_OK, store.read(stream, from, Date.now()));
+  };
+
+  const handleControl = async (
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    path: string,
+  ): Promise<void> => {
+    if (path === '/counts') {
+      answerJson(response, HTTP_OK, counts);
+    } else if (path === '/faults' && request.method === 'PUT') {
+      faults = { ...faults, ...(JSON.parse(await readBody(request)) as Partial<LogFaults>) };
+      wakeAll();
+      answerJson(response, HTTP_OK, faults);
+    } else {
+      answerJson(response, HTTP_NOT_FOUND, { error: 'no such path' });
+    }
+  };
+
+  const handle = async (
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> => {
+    const url = new URL(request.url ?? '/', 'http://log');
+    const match = RECORDS_PATH.exec(url.pathname);
+    if (!match) {
+      await handleControl(request, response, url.pathname);
+      return;
+    }
+    const [, dataCentre, stream = ''] = match;
+    const delayMs = faults.slowMs + (faults.delays[dataCentre ?? ''] ?? 0);
+    if (delayMs > 0) await timers.setTimeout(delayMs);
+    if (isRefused(dataCentre)) {
+      counts.refused += 1;
+      request.resume();
+      answerJson(response, HTTP_UNAVAILABLE, { error: 'outage' });
+    } else if (request.method === 'POST') {
+      await handleAppend(stream, request, response);
+    } else {
+      await handleRead(stream, url.searchParams, dataCentre, response);
+    }
+  };
+
+  const server = http.createServer((request, response) => {
+    handle(request, response).catch(() => response.destroy());
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject).listen(port, '127.0.0.1', resolve);
+  });
+  return {
+    port: (server.address() as net.AddressInfo).port,
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+}
--- /dev/null
+++ b/scripts/run-tests.mjs
@@ -0,0 +1,25 @@
+/** Runs every test file of the workspace. */
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+
+const root = new URL('..', import.meta.url).pathname;
+const packages = path.join(root, 'packages');
+const filter = process.argv[2] ?? '';
+const files = fs
+  .readdirSync(packages)
+  .map((name) => path.join(packages, name, 'test'))
+  .filter((directory) => fs.existsSync(directory))
+  .flatMap((directory) =>
+    fs
+      .readdirSync(directory)
+      .filter((name) => name.endsWith('.test.ts') && name.includes(filter))
+      .map((name) => path.join(directory, name)),
+  )
+  .sort();
+const result = childProcess.spawnSync(
+  process.execPath,
+  ['--import', 'tsx', '--test', '--test-concurrency=3', ...files],
+  { cwd: root, stdio: 'inherit' },
+);
+process.exitCode = result.status ?? 1;
