Prove configuration under failure by scenarios on separate processes

Causes found by the scenarios and mended: - delegates of a data centre whose members were first seen not ready were never contacted again, so members and versions did not cross (partition counted 0 dropped bytes); any known member is now asked. - a restarted process never learned the record of the seed that it pinged, and so had no peer to fetch from while the log was down (log-outage did not finish); contact pings are answered with the sender's record, and tables are compared with a random member. - 18 proxies restarting at once read the log 28 times; readers are now chosen among those that start.

--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -144,13 +144,19 @@
     return id === undefined ? undefined : members.get(id);
   };
 
-  const sendPing = (to: types.Endpoint, number: number, receiver?: string) => ({
-    type: 'send' as const,
+  const sendPing = (
+    to: types.Endpoint,
+    number: number,
+    receiver: string | undefined,
+    isContact = false,
+  ): types.MembershipEffect => ({
+    type: 'send',
     to,
     message: {
-      type: 'ping' as const,
+      type: 'ping',
       sequence: number,
       from: self.id,
+      isContact,
       mark,
       members: takeUpdates(receiver),
     },
@@ -235,7 +241,9 @@
           sequence: message.sequence,
           from: self.id,
           mark,
-          members: takeUpdates(message.from),
+          members: message.isContact
+            ? [self, ...takeUpdates(message.from).filter(({ id }) => id !== self.id)]
+            : takeUpdates(message.from),
         },
       },
     ],
@@ -296,7 +304,7 @@
     contact(to) {
       sequence += 1;
       queue.add(self);
-      return [sendPing(to, sequence)];
+      return [sendPing(to, sequence, undefined, true)];
     },
     self: () => self,
     get: (id) => members.get(id),
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -44,7 +44,15 @@
 
 /** A gossip datagram. */
 export type GossipMessage =
-  | { type: 'ping'; sequence: number; from: string; mark: ConfigMark; members: Member[] }
+  | {
+      type: 'ping';
+      sequence: number;
+      from: string;
+      /** Asks the receiver for its own record, because the sender may not know it yet. */
+      isContact: boolean;
+      mark: ConfigMark;
+      members: Member[];
+    }
   | { type: 'ack'; sequence: number; from: string; mark: ConfigMark; members: Member[] }
   | {
       type: 'ping-request';
--- a/packages/proxy/src/tasks/config-task.ts
+++ b/packages/proxy/src/tasks/config-task.ts
@@ -15,6 +15,9 @@
 const SNAPSHOT_SHARE = 0.25;
 /** Records after the last snapshot that make a new one due. */
 const SNAPSHOT_RECORDS = 500;
+/** Share of the start's time that readers leave to peers. */
+const READER_PATIENCE_SHARE = 0.3;
+const START_JITTER_SHARE = 0.1;
 const STREAM = 'config';
 const MS_PER_SECOND = 1_000;
 
@@ -108,16 +111,14 @@
     runGuarded('config-mark', () => perform(replica.receiveMark(id, mark, clock.monotonic())));
 
   const isReader = (): boolean => {
-    const ids = gossip.membership
+    const alive = gossip.membership
       .list()
-      .filter(
-        ({ info, status }) => info.region === settings.region && status === 'alive' && info.ready,
-      )
-      .map(({ id }) => id);
-    if (ids.length === 0) return true;
-    return core
-      .chooseHolders(`config-reader|${settings.region}`, ids, READERS_PER_REGION)
-      .includes(settings.id);
+      .filter(({ info, status }) => info.region === settings.region && status === 'alive');
+    const ready = alive.filter(({ info }) => info.ready);
+    // While a whole region starts, its readers are chosen among those that start.
+    const ids = (ready.length > 0 ? ready : alive).map(({ id }) => id);
+    const duty = `config-reader|${settings.region}`;
+    return core.chooseHolders(duty, ids, READERS_PER_REGION).includes(settings.id);
   };
 
   const isSnapshotWriter = (): boolean => {
@@ -166,12 +167,13 @@
   };
 
   const mayRead = (): boolean => {
-    if (isReader() && gossip.membership.self().info.ready) return true;
-    if (compiled) return false;
-    // Peers come first; the log only when they have shown nothing for a while.
+    if (compiled) return isReader();
+    // Peers come first, then the readers, and the log itself when neither has shown anything.
     const hasPeers = gossip.membership.marks().size > 0 || settings.peers.length > 0;
-    const patienceMs = hasPeers ? settings.startTimeoutMs * 0.3 * (1 + random()) : 0;
-    return clock.monotonic() - startedAt >= patienceMs;
+    if (!hasPeers) return true;
+    const waitedMs = clock.monotonic() - startedAt;
+    if (waitedMs >= settings.startTimeoutMs) return true;
+    return waitedMs >= settings.startTimeoutMs * READER_PATIENCE_SHARE && isReader();
   };
 
   const readLog = async (): Promise<void> => {
@@ -220,7 +222,7 @@
       return compiled !== undefined;
     },
     async start() {
-      startedAt = clock.monotonic();
+      startedAt = clock.monotonic() - settings.startTimeoutMs * START_JITTER_SHARE * random();
       snapshotAt = clock.now() - settings.platform.retentionMs * SNAPSHOT_SHARE * random();
       readLog().catch((error: unknown) => ctx.reportError('read-log', error));
       await timers.setTimeout(MS_PER_SECOND / PUSH_FANOUT, undefined, { ref: false });
--- a/packages/proxy/src/tasks/delegate-task.ts
+++ b/packages/proxy/src/tasks/delegate-task.ts
@@ -173,7 +173,8 @@
 
   const choosePeer = (dataCentre: string): core.Member | undefined => {
     const delegates = listDelegatesOf(dataCentre);
-    const pool = delegates.length > 0 ? delegates : gossip.listReady(dataCentre);
+    // What is known of a data centre may be old, so any member will do to learn more.
+    const pool = delegates.length > 0 ? delegates : listMembers(dataCentre);
     return pool[Math.floor(ctx.random() * pool.length)];
   };
 
--- a/packages/proxy/src/tasks/gossip-task.ts
+++ b/packages/proxy/src/tasks/gossip-task.ts
@@ -48,14 +48,21 @@
 const envelopeSchema = z.object({
   key: z.string(),
   message: z.discriminatedUnion('type', [
-    z.object({ type: z.literal('ping'), ...messageFields }),
+    z.object({ type: z.literal('ping'), isContact: z.boolean(), ...messageFields }),
     z.object({ type: z.literal('ack'), ...messageFields }),
     z.object({ type: z.literal('ping-request'), subject: z.string(), ...messageFields }),
   ]),
 });
 
+const syncAnswerSchema = z.object({ members: z.array(memberSchema) });
+
 const TICK_MS = 50;
+const SYNC_INTERVAL_MS = 30_000;
+const SYNC_RETRY_MS = 500;
+const SYNC_TIMEOUT_MS = 2_000;
 const SEED_INTERVAL_MS = 1_000;
+const HALF = 0.5;
+const DIGEST_LENGTH = 16;
 const LEAVE_ROUNDS = 3;
 const METHOD = 'gossip';
 
@@ -90,6 +97,7 @@
   const key = core.computeDigest(`gossip|${settings.fleetKey}`).slice(0, 16);
   let timer: NodeJS.Timeout | undefined;
   let nextSeedAt = 0;
+  let nextSyncAt = 0;
   const membership = core.createMembership({
     id: settings.id,
     incarnation: clock.now(),
@@ -168,9 +176,48 @@
       .forEach((seed) => perform(membership.contact(seed)));
   };
 
+  const readDigest = (): string =>
+    core
+      .computeDigest(
+        membership
+          .list()
+          .map(({ id, incarnation, status }) => `${id}=${incarnation}:${status}`)
+          .sort()
+          .join('|'),
+      )
+      .slice(0, DIGEST_LENGTH);
+
+  /** Compares the whole table with one member, which also brings a new process up to date. */
+  const syncMembers = async (): Promise<void> => {
+    const peers = membership
+      .list()
+      .filter(
+        ({ id, info, status }) =>
+          id !== settings.id && status === 'alive' && info.dataCentre === settings.dataCentre,
+      );
+    const peer = peers[Math.floor(random() * peers.length)];
+    if (!peer) return;
+    const answer = await ctx.peers.request(
+      ctx.locate(peer.info),
+      'members.sync',
+      { digest: readDigest() },
+      SYNC_TIMEOUT_MS,
+    );
+    nextSyncAt = clock.monotonic() + SYNC_INTERVAL_MS * (HALF + random());
+    const { members } = syncAnswerSchema.parse(answer);
+    perform(membership.merge(members, clock.monotonic()));
+  };
+
+  const tickSync = (now: number): void => {
+    if (now < nextSyncAt) return;
+    nextSyncAt = now + SYNC_RETRY_MS;
+    syncMembers().catch(() => metrics.increment('gossip.sync-failures'));
+  };
+
   const tick = (): void => {
     const now = clock.monotonic();
     contactSeeds(now);
+    tickSync(now);
     perform(membership.tick(now));
   };
 
@@ -181,6 +228,12 @@
         ({ info, status }) => info.dataCentre === dataCentre && status === 'alive' && info.ready,
       );
 
+  ctx.peerServer.addMethods({
+    'members.sync': (params) => {
+      const { digest } = z.object({ digest: z.string() }).parse(params);
+      return { members: digest === readDigest() ? [] : membership.list() };
+    },
+  });
   server.addMethod(METHOD, receive);
   bus.on('target-changed', ({ target }) =>
     perform(membership.setInfo({ target }, clock.monotonic())),
