Bound the log's reads while a whole fleet restarts

Cause: of 24 proxies killed and restarted at once every one read the contacts stream after a second, and holders of duties were only sought among members that were ready, of which there were none. Ruled out: reads of the configuration, which came from 6 readers. Duties now fall to members that start while none is ready, and contacts are read only after the peers in the settings stayed silent.

--- a/packages/proxy/src/tasks/config-task.ts
+++ b/packages/proxy/src/tasks/config-task.ts
@@ -111,21 +111,13 @@
     runGuarded('config-mark', () => perform(replica.receiveMark(id, mark, clock.monotonic())));
 
   const isReader = (): boolean => {
-    const alive = gossip.membership
-      .list()
-      .filter(({ info, status }) => info.region === settings.region && status === 'alive');
-    const ready = alive.filter(({ info }) => info.ready);
-    // While a whole region starts, its readers are chosen among those that start.
-    const ids = (ready.length > 0 ? ready : alive).map(({ id }) => id);
+    const ids = gossip.listHolders({ region: settings.region }).map(({ id }) => id);
     const duty = `config-reader|${settings.region}`;
     return core.chooseHolders(duty, ids, READERS_PER_REGION).includes(settings.id);
   };
 
   const isSnapshotWriter = (): boolean => {
-    const ids = gossip.membership
-      .list()
-      .filter(({ info, status }) => status === 'alive' && info.ready)
-      .map(({ id }) => id);
+    const ids = gossip.listHolders({}).map(({ id }) => id);
     return core.chooseHolders('snapshot-writer', ids, 1).includes(settings.id);
   };
 
--- a/packages/proxy/src/tasks/delegate-task.ts
+++ b/packages/proxy/src/tasks/delegate-task.ts
@@ -20,6 +20,8 @@
 const CONTACTS_STREAM = 'members';
 const CONTACTS_PER_RECORD = 5;
 const CONTACTS_SHARE = 0.25;
+/** Share of the start's time that is left to the peers in the settings. */
+const CONTACTS_PATIENCE = 0.6;
 
 const exchangeSchema = z.object({
   from: z.string(),
@@ -79,6 +81,7 @@
   let timer: NodeJS.Timeout | undefined;
   let nextContactsAt = 0;
   let isReadingContacts = false;
+  let startedAt = 0;
 
   const listMembers = (dataCentre: string): core.Member[] =>
     gossip.membership
@@ -90,13 +93,13 @@
   ];
 
   const listDelegatesOf = (dataCentre: string): core.Member[] => {
-    const ready = gossip.listReady(dataCentre);
+    const holders = gossip.listHolders({ dataCentre });
     const ids = core.chooseHolders(
       `delegate|${dataCentre}`,
-      ready.map(({ id }) => id),
+      holders.map(({ id }) => id),
       DELEGATES_PER_DATA_CENTRE,
     );
-    return ready.filter(({ id }) => ids.includes(id));
+    return holders.filter(({ id }) => ids.includes(id));
   };
 
   const isDelegate = (): boolean =>
@@ -211,7 +214,9 @@
   };
 
   const tickContacts = (): void => {
-    if (isAlone() && !isReadingContacts) {
+    const patienceMs = settings.peers.length > 0 ? settings.startTimeoutMs * CONTACTS_PATIENCE : 0;
+    const isPatient = clock.monotonic() - startedAt < patienceMs;
+    if (isAlone() && !isReadingContacts && !isPatient) {
       isReadingContacts = true;
       readContacts()
         .catch(() => metrics.increment('delegate.contact-failures'))
@@ -238,6 +243,7 @@
         .map((dataCentre) => choosePeer(dataCentre))
         .filter((member): member is core.Member => member !== undefined),
     async start() {
+      startedAt = clock.monotonic();
       timer = setInterval(() => {
         try {
           if (isDelegate()) exchangeAll();
--- a/packages/proxy/src/tasks/gossip-task.ts
+++ b/packages/proxy/src/tasks/gossip-task.ts
@@ -66,11 +66,19 @@
 const LEAVE_ROUNDS = 3;
 const METHOD = 'gossip';
 
+/** Members of a region or data centre; everywhere when neither is given. */
+export type Place = Partial<Pick<core.MemberInfo, 'region' | 'dataCentre'>>;
+
 /** The membership of this process, read by the other tasks. */
 export interface GossipTask extends context.Task {
   membership: core.Membership;
   /** Members of a data centre that are alive and take calls. */
   listReady(dataCentre: string): core.Member[];
+  /**
+   * Members of a place that may hold duties: those that take calls, or all that are alive while
+   * none does yet.
+   */
+  listHolders(place: Place): core.Member[];
   merge(members: readonly core.Member[]): void;
   setInfo(info: Partial<core.MemberInfo>): void;
   /** Tells some members of the data centre at once which configuration this process holds. */
@@ -221,13 +229,25 @@
     perform(membership.tick(now));
   };
 
-  const listReady = (dataCentre: string): core.Member[] =>
+  const listAlive = ({ region, dataCentre }: Place): core.Member[] =>
     membership
       .list()
       .filter(
-        ({ info, status }) => info.dataCentre === dataCentre && status === 'alive' && info.ready,
+        ({ info, status }) =>
+          status === 'alive' &&
+          (region === undefined || info.region === region) &&
+          (dataCentre === undefined || info.dataCentre === dataCentre),
       );
 
+  const listReady = (dataCentre: string): core.Member[] =>
+    listAlive({ dataCentre }).filter(({ info }) => info.ready);
+
+  const listHolders = (place: Place): core.Member[] => {
+    const alive = listAlive(place);
+    const ready = alive.filter(({ info }) => info.ready);
+    return ready.length > 0 ? ready : alive;
+  };
+
   ctx.peerServer.addMethods({
     'members.sync': (params) => {
       const { digest } = z.object({ digest: z.string() }).parse(params);
@@ -243,10 +263,11 @@
   return {
     membership,
     listReady,
+    listHolders,
     merge: (members) => perform(membership.merge(members, clock.monotonic())),
     setInfo: (info) => perform(membership.setInfo(info, clock.monotonic())),
     advertise(count) {
-      listReady(settings.dataCentre)
+      listAlive({ dataCentre: settings.dataCentre })
         .filter(({ id }) => id !== settings.id)
         .map((member) => ({ member, order: random() }))
         .sort((left, right) => left.order - right.order)
--- a/packages/stand-ins/src/scenarios/configuration.ts
+++ b/packages/stand-ins/src/scenarios/configuration.ts
@@ -304,7 +304,12 @@
       return {
         held: statuses.every(({ version }) => version === offset) && logReads <= MAX_HERD_READS,
         faults: fleet.hosts.length,
-        figures: { killed: fleet.hosts.length, readyMs, logReads },
+        figures: {
+          killed: fleet.hosts.length,
+          readyMs,
+          logReads,
+          readsByProxy: statuses.map(({ metrics }) => metrics['config.log-reads'] ?? 0),
+        },
       };
     });
   },
