--- a/eslint.config.js
+++ b/eslint.config.js
@@ -26,7 +26,12 @@
     rules: { 'max-classes-per-file': 'off' },
   },
   {
-    files: ['packages/cli/**', 'packages/proxy/src/settings/**', 'packages/stand-ins/**'],
+    files: [
+      'scripts/**',
+      'packages/cli/**',
+      'packages/proxy/src/settings/**',
+      'packages/stand-ins/**',
+    ],
     rules: { 'n/no-sync': 'off', 'n/no-process-exit': 'off' },
   },
   {
--- a/packages/proxy/src/ingress/call-runner.ts
+++ b/packages/proxy/src/ingress/call-runner.ts
@@ -41,6 +41,7 @@
     handler: types.AttemptHandler,
   ): types.Attempt;
   replaceConnections(member: core.Member): void;
+  isQuarantined(fingerprint: string): boolean;
   /** Asks over a new connection what became of an attempt. */
   ask(member: core.Member, attemptId: string): Promise<types.AttemptState>;
 }
@@ -57,13 +58,16 @@
   hasHead: boolean;
   isOver: boolean;
   timer: NodeJS.Timeout | undefined;
-  checks: number;
 }
 
-/** Checks that say "running" after which an idempotent call is also tried elsewhere. */
-const MAX_PATIENT_CHECKS = 2;
+/** Share of a call's time that a running attempt gets before an idempotent call is tried elsewhere. */
+const PATIENT_SHARE = 0.75;
 /** Shortest pause before a call looks for a target again when there is none. */
 const NO_TARGET_PAUSE_MS = 50;
+/** Targets that one call may lose, as it may be what crashes them. */
+const MAX_TARGETS_LOST = 2;
+/** Time in which the news of a target's death arrives, before its calls are tried again. */
+const DEATH_NEWS_MS = 60;
 
 const healthByReason: Readonly<Record<string, core.AttemptHealth>> = {
   done: 'success',
@@ -112,6 +116,8 @@
     };
 
     const isIdempotent = requestKind.idempotent;
+    const startedAt = clock.monotonic();
+    const patientUntil = startedAt + (call.deadlineAt - startedAt) * PATIENT_SHARE;
 
     const mayTryAgain = (): boolean => {
       const hasStarted = !writer.reset();
@@ -125,6 +131,15 @@
       });
     };
 
+    const retryUnlessQuarantined = (): void => {
+      if (parts.isQuarantined(call.fingerprint)) {
+        finish(core.combineOutcomes(results), 'quarantined');
+      } else {
+        // eslint-disable-next-line @typescript-eslint/no-use-before-define -- mutual recursion
+        startAttempt();
+      }
+    };
+
     const fail = (record: AttemptRecord, result: core.AttemptResult): void => {
       if (record.isOver || isOver) return;
       closeAttempt(record, result.reason);
@@ -135,21 +150,26 @@
         outcome: result.outcome,
         reason: result.reason,
       });
-      if (result.reason !== 'quarantined' && mayTryAgain()) {
-        metrics.increment('ingress.retries');
+      const lost = results.filter(({ reason }) => reason === 'target-lost').length;
+      const isHopeless = result.reason === 'quarantined' || lost >= MAX_TARGETS_LOST;
+      if (isHopeless || !mayTryAgain()) {
+        finish(core.combineOutcomes(results), result.reason);
+        return;
+      }
+      metrics.increment('ingress.retries');
+      if (result.reason === 'target-lost') {
+        pauseTimer = setTimeout(retryUnlessQuarantined, DEATH_NEWS_MS);
+      } else {
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- mutual recursion
         startAttempt();
-        return;
       }
-      finish(core.combineOutcomes(results), result.reason);
     };
 
     const settleChecked = (record: AttemptRecord, state: types.AttemptState): void => {
       if (record.isOver || record.hasHead || isOver) return;
       const handlers: Record<types.AttemptState['type'], () => void> = {
         running: () => {
-          record.checks += 1;
-          if (isIdempotent && record.checks >= MAX_PATIENT_CHECKS) {
+          if (isIdempotent && clock.monotonic() >= patientUntil) {
             record.attempt?.cancel();
             fail(record, { outcome: 'unknown', reason: 'slow-target' });
           } else {
@@ -317,7 +337,6 @@
         hasHead: false,
         isOver: false,
         timer: undefined,
-        checks: 0,
       };
       current = record;
       log.info('route', {
--- a/packages/proxy/src/ingress/caller-server.ts
+++ b/packages/proxy/src/ingress/caller-server.ts
@@ -1,5 +1,6 @@
 /** Owns the port on which callers reach this proxy. */
 import * as http from 'node:http';
+import * as timers from 'node:timers/promises';
 import * as core from '@figshed/core';
 import * as uuid from 'uuid';
 import * as headers from '../calls/headers.js';
@@ -18,6 +19,9 @@
 const HTTP_BAD_GATEWAY = 502;
 const HTTP_GATEWAY_TIMEOUT = 504;
 const KEEP_ALIVE_MS = 60_000;
+/** How long written answers may take to reach their callers when the process stops. */
+const FLUSH_MS = 5_000;
+const FLUSH_POLL_MS = 20;
 const FINGERPRINT_LENGTH = 16;
 const BEARER = /^Bearer ([\x21-\x7e]{1,512})$/;
 
@@ -27,6 +31,8 @@
   inFlight(): number;
   /** Answers from now on tell callers to use another connection. */
   drain(): void;
+  /** Takes no further connections; open ones go on. */
+  close(): void;
 }
 
 /** What the server needs besides the context. */
@@ -241,6 +247,11 @@
 
   const server = http.createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, receive);
 
+  const countConnections = (): Promise<number> =>
+    new Promise((resolve) => {
+      server.getConnections((error, open) => resolve(error ? 0 : open));
+    });
+
   return {
     limits,
     inFlight: () => inFlight,
@@ -254,12 +265,20 @@
         server.listen(listen.callerPort, listen.address, resolve);
       });
     },
+    close() {
+      server.close();
+      server.closeIdleConnections();
+    },
     async stop() {
-      await new Promise<void>((resolve) => {
-        server.close(() => resolve());
+      // Answers that are written are still on their way to slow callers.
+      const until = clock.monotonic() + FLUSH_MS;
+      server.closeIdleConnections();
+      while ((await countConnections()) > 0 && clock.monotonic() < until) {
+        // eslint-disable-next-line no-await-in-loop -- polls
+        await timers.setTimeout(FLUSH_POLL_MS);
         server.closeIdleConnections();
-        setTimeout(() => server.closeAllConnections(), 1_000).unref();
-      });
+      }
+      server.closeAllConnections();
     },
   };
 }
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -125,6 +125,7 @@
     runLocal: (request, handler) => target.egress.run(request, handler),
     runRemote: (member, request, handler) => remote.run(member, request, handler),
     replaceConnections: (member) => remote.replaceConnections(member),
+    isQuarantined: health.isQuarantined,
     ask: askPeer,
   });
   const callers = callerServer.createCallerServer(ctx, {
@@ -217,9 +218,9 @@
       callers.drain();
       await timers.setTimeout(settings.stop.announceMs);
       target.egress.drain();
-      const closing = callers.stop();
+      callers.close();
       await waitForCalls();
-      await closing;
+      await callers.stop();
       await orders.stop();
       gossip.leave();
       await delegate.stop();
--- a/packages/proxy/src/tasks/config-task.ts
+++ b/packages/proxy/src/tasks/config-task.ts
@@ -108,7 +108,12 @@
   };
 
   const receiveMark = (id: string, mark: core.ConfigMark): void =>
-    runGuarded('config-mark', () => perform(replica.receiveMark(id, mark, clock.monotonic())));
+    runGuarded('config-mark', () => {
+      // A peer that has read an empty log spares this process the same.
+      const isEmptyAtPeer = mark.position === replica.state().position && mark.digest !== '';
+      if (!compiled && isEmptyAtPeer) apply(replica.state(), id);
+      perform(replica.receiveMark(id, mark, clock.monotonic()));
+    });
 
   const isReader = (): boolean => {
     const ids = gossip.listHolders({ region: settings.region }).map(({ id }) => id);
--- a/packages/runtime/src/peer-client.ts
+++ b/packages/runtime/src/peer-client.ts
@@ -12,7 +12,12 @@
 
 /** Calls methods at peers. */
 export interface PeerClient {
-  /** @throws PeerError when the peer does not answer in time or refuses. */
+  /**
+   * Calls an idempotent method. When the answer is late, the call is made again over a new
+   * connection; when that one answers first, the open connections are dropped as silent.
+   *
+   * @throws PeerError when the peer does not answer in time or refuses.
+   */
   request(peer: PeerAddress, method: string, params: unknown, timeoutMs: number): Promise<unknown>;
   /** The same over a connection of its own, for when open connections are in doubt. */
   requestFresh(
@@ -28,6 +33,8 @@
 
 const CONNECTIONS_PER_PEER = 2;
 const KEEP_ALIVE_MS = 10_000;
+/** An answer that takes longer is asked for again over a new connection. */
+const HEDGE_AFTER_MS = 500;
 const HTTP_OK = 200;
 /** Header and framing bytes of one exchange, counted with its body. */
 const EXCHANGE_OVERHEAD_BYTES = 350;
@@ -96,17 +103,46 @@
 
   const formatOrigin = ({ address, port }: PeerAddress) => `http://${address}:${port}`;
 
+  const requestFresh: PeerClient['requestFresh'] = async (peer, method, params, timeoutMs) => {
+    const client = new undici.Client(formatOrigin(peer), { connect: { timeout: timeoutMs } });
+    try {
+      return await request(client, method, params, timeoutMs);
+    } finally {
+      client.destroy().catch(() => undefined);
+    }
+  };
+
+  const dropPool = (origin: string): void => {
+    const pool = pools.get(origin);
+    pools.delete(origin);
+    pool?.destroy().catch(() => undefined);
+  };
+
+  const requestHedged: PeerClient['request'] = (peer, method, params, timeoutMs) => {
+    const origin = formatOrigin(peer);
+    const first = request(getPool(origin), method, params, timeoutMs);
+    if (timeoutMs <= HEDGE_AFTER_MS) return first;
+    return new Promise((resolve, reject) => {
+      const hedge = (): void => {
+        requestFresh(peer, method, params, timeoutMs - HEDGE_AFTER_MS)
+          .then((answer) => {
+            resolve(answer);
+            if (!isOver) dropPool(origin);
+          })
+          .catch(() => undefined);
+      };
+      let isOver = false;
+      const timer = setTimeout(hedge, HEDGE_AFTER_MS);
+      first.then(resolve, reject).finally(() => {
+        isOver = true;
+        clearTimeout(timer);
+      });
+    });
+  };
+
   return {
-    request: (peer, method, params, timeoutMs) =>
-      request(getPool(formatOrigin(peer)), method, params, timeoutMs),
-    async requestFresh(peer, method, params, timeoutMs) {
-      const client = new undici.Client(formatOrigin(peer), { connect: { timeout: timeoutMs } });
-      try {
-        return await request(client, method, params, timeoutMs);
-      } finally {
-        client.destroy().catch(() => undefined);
-      }
-    },
+    request: requestHedged,
+    requestFresh,
     traffic: () => ({ ...traffic }),
     async close() {
       await Promise.all([...pools.values()].map((pool) => pool.destroy()));
--- a/packages/stand-ins/src/scenarios/load.ts
+++ b/packages/stand-ins/src/scenarios/load.ts
@@ -33,6 +33,8 @@
   answered: number;
   notRun: number;
   unknown: number;
+  /** Calls whose connection to the proxy broke. */
+  broken: number;
   orders: number;
   ordersDone: number;
   replays: number;
@@ -114,6 +116,7 @@
     answered: 0,
     notRun: 0,
     unknown: 0,
+    broken: 0,
     orders: 0,
     ordersDone: 0,
     replays: 0,
@@ -149,7 +152,8 @@
     if (answer.status === HTTP_OK) {
       report.answered += 1;
       if (!answer.body.includes(`"path":"${path}"`)) report.foreignAnswers.push(path);
-    } else if (answer.outcome === 'not-run') report.notRun += 1;
+    } else if (answer.status === 0) report.broken += 1;
+    else if (answer.outcome === 'not-run') report.notRun += 1;
     else report.unknown += 1;
   };
 
--- /dev/null
+++ b/packages/stand-ins/src/scenarios/orders.ts
@@ -0,0 +1,249 @@
+/** Scenarios of outcomes: answers belong to their callers, and orders run at most once. */
+import * as timers from 'node:timers/promises';
+import * as uuid from 'uuid';
+import * as callerModule from '../harness/caller.js';
+import type * as fleetModule from '../harness/fleet.js';
+import * as loadModule from './load.js';
+import * as setup from './setup.js';
+import type * as types from './types.js';
+
+const MS_PER_SECOND = 1_000;
+const ROUND_MS = 3 * MS_PER_SECOND;
+
+function startLoad(
+  fleet: setup.ScenarioFleet,
+  context: types.ScenarioContext,
+  options: Partial<loadModule.LoadOptions> = {},
+): loadModule.Load {
+  return loadModule.startLoad(
+    {
+      ...setup.loadDefaults,
+      service: fleet.topology.services[0] as string,
+      listHosts: fleet.listRunning,
+      ...options,
+    },
+    context.random,
+    fleet.listTargetLines,
+  );
+}
+
+function pickHost(
+  fleet: setup.ScenarioFleet,
+  context: types.ScenarioContext,
+): fleetModule.FleetHost {
+  return fleet.hosts[Math.floor(context.random() * fleet.hosts.length)] as fleetModule.FleetHost;
+}
+
+async function withFleet(
+  context: types.ScenarioContext,
+  options: setup.SetupOptions,
+  action: (fleet: setup.ScenarioFleet) => Promise<types.ScenarioResult>,
+): Promise<types.ScenarioResult> {
+  const fleet = await setup.setUpFleet(context, options);
+  try {
+    return await action(fleet);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+/** Kills proxies and silences links under calls, and compares each answer with its question. */
+export const ownAnswer: types.Scenario = {
+  description: 'every answer belongs to its own call while connections break and go silent',
+  run: (context) =>
+    withFleet(context, { dataCentres: [0, 1, 2] }, async (fleet) => {
+      const load = startLoad(fleet, context, { callsPerSecond: 150, orderShare: 0.1 });
+      let faults = 0;
+      for (let round = 0; round < 4; round += 1) {
+        /* eslint-disable no-await-in-loop -- rounds follow one another */
+        await timers.setTimeout(ROUND_MS / 2);
+        const { silenced } = await fleet.setLinks({ silence: true });
+        const host = pickHost(fleet, context);
+        host.proxy?.signal('SIGKILL');
+        await host.proxy?.exited;
+        faults += silenced + 1;
+        await fleet.startProxy(host);
+        context.say(`${host.id} killed and replaced, ${silenced} connections silenced`);
+        /* eslint-enable no-await-in-loop */
+      }
+      const report = await load.stop();
+      return { held: loadModule.isTruthful(report), faults, figures: { ...report } };
+    }),
+};
+
+/** Every kind of failure at once, with orders that are repeated through other proxies. */
+export const atMostOnce: types.Scenario = {
+  description: 'no order runs twice through kills, freezes, repeats, log outage and lost answers',
+  run: (context) =>
+    withFleet(context, { dataCentres: [0, 2, 4] }, async (fleet) => {
+      const load = startLoad(fleet, context, { callsPerSecond: 80, orderShare: 0.8 });
+      const [first, second] = fleet.topology.dataCentres.map(({ name }) => name) as [
+        string,
+        string,
+      ];
+      let faults = 0;
+      const steps: (() => Promise<string>)[] = [
+        async () => {
+          const host = pickHost(fleet, context);
+          host.proxy?.signal('SIGKILL');
+          await host.proxy?.exited;
+          await fleet.startProxy(host);
+          return `${host.id} killed and replaced`;
+        },
+        async () => {
+          await fleet.setLogFaults({ lostAnswers: 0.3 });
+          await timers.setTimeout(ROUND_MS);
+          await fleet.setLogFaults({ lostAnswers: 0 });
+          return 'answers of appends were lost';
+        },
+        async () => {
+          const host = pickHost(fleet, context);
+          host.proxy?.signal('SIGSTOP');
+          await timers.setTimeout(ROUND_MS);
+          host.proxy?.signal('SIGCONT');
+          return `${host.id} was frozen`;
+        },
+        async () => {
+          await fleet.setLogFaults({ outage: true });
+          await timers.setTimeout(ROUND_MS);
+          await fleet.setLogFaults({ outage: false });
+          return 'the log was down';
+        },
+        async () => {
+          await fleet.setLinks({ cuts: [[first, second]] });
+          await fleet.setLogFaults({ cutOff: [second] });
+          await timers.setTimeout(ROUND_MS);
+          await fleet.setLinks({ cuts: [] });
+          await fleet.setLogFaults({ cutOff: [] });
+          return `${second} was cut off`;
+        },
+        async () => {
+          const host = pickHost(fleet, context);
+          host.target?.signal('SIGKILL');
+          await host.target?.exited;
+          await fleet.replaceTarget(host);
+          return `the target of ${host.id} was killed and replaced`;
+        },
+      ];
+      for (const step of steps) {
+        /* eslint-disable no-await-in-loop -- faults follow one another */
+        await timers.setTimeout(MS_PER_SECOND / 2);
+        context.say(await step());
+        faults += 1;
+        /* eslint-enable no-await-in-loop */
+      }
+      await timers.setTimeout(2 * MS_PER_SECOND);
+      const report = await load.stop();
+      const { lost } = await fleet.readLogCounts();
+      const held = loadModule.isTruthful(report) && report.ordersDone > 0 && lost > 0;
+      return { held, faults, figures: { ...report, lost } };
+    }),
+};
+
+/** Sheds, kills and expires orders, and looks for any that ran after "not run" was said. */
+export const notRunMeansNotRun: types.Scenario = {
+  description: 'an order whose caller was told "not run" was run by no target',
+  run: (context) =>
+    withFleet(context, { dataCentres: [0, 1], target: { slots: 2 } }, async (fleet) => {
+      // Far more than the slots bear, with deadlines that many calls miss.
+      const load = startLoad(fleet, context, {
+        callsPerSecond: 150,
+        orderShare: 0.7,
+        repeats: 0,
+        serviceMs: 60,
+      });
+      let faults = 0;
+      for (let round = 0; round < 3; round += 1) {
+        /* eslint-disable no-await-in-loop -- rounds follow one another */
+        await timers.setTimeout(ROUND_MS / 2);
+        const host = pickHost(fleet, context);
+        host.target?.signal('SIGKILL');
+        await host.target?.exited;
+        faults += 1;
+        await timers.setTimeout(MS_PER_SECOND / 2);
+        await fleet.replaceTarget(host);
+        context.say(`the target of ${host.id} was killed and replaced`);
+        /* eslint-enable no-await-in-loop */
+      }
+      const report = await load.stop();
+      const held = loadModule.isTruthful(report) && report.notRun > 0;
+      return { held, faults: faults + report.notRun, figures: { ...report } };
+    }),
+};
+
+/** Repeats finished orders through other data centres. */
+export const orderRepeat: types.Scenario = {
+  description: 'a repeat of a finished order gets the recorded outcome through any data centre',
+  run: (context) =>
+    withFleet(context, { dataCentres: [0, 2, 4] }, async (fleet) => {
+      const caller = callerModule.createCaller();
+      const path = `/${fleet.topology.services[0]}/orders/1`;
+      const send = (host: fleetModule.FleetHost, orderKey: string) =>
+        caller.call({
+          address: host.address,
+          port: host.callerPort,
+          path,
+          key: setup.API_KEY,
+          method: 'POST',
+          body: 'same order',
+          orderKey,
+        });
+      let repeats = 0;
+      let wrong = 0;
+      for (let round = 0; round < 12; round += 1) {
+        /* eslint-disable no-await-in-loop -- a repeat follows the order */
+        const orderKey = uuid.v7();
+        const first = await send(pickHost(fleet, context), orderKey);
+        const again = await send(pickHost(fleet, context), orderKey);
+        repeats += 1;
+        const isSame = again.status === first.status && again.body === first.body;
+        if (first.status !== 200 || !isSame || !again.isReplay) {
+          wrong += 1;
+          context.say(`${first.status} ${first.body} then ${again.status} ${again.body}`);
+        }
+        /* eslint-enable no-await-in-loop */
+      }
+      await caller.close();
+      await timers.setTimeout(MS_PER_SECOND / 2);
+      const runs = [...loadModule.countRuns(fleet.listTargetLines()).values()];
+      const twice = runs.filter((count) => count > 1).length;
+      const held = wrong === 0 && twice === 0 && runs.length === repeats;
+      return { held, faults: repeats, figures: { repeats, wrong, twice, runs: runs.length } };
+    }),
+};
+
+/** Connections that are open go silent; new ones work. */
+export const silentConnection: types.Scenario = {
+  description: 'open connections go silent for good while new ones work, and calls are answered',
+  run: (context) =>
+    withFleet(
+      context,
+      {
+        dataCentres: [0, 2],
+        services: ['catalogue', 'bookings'],
+        // The only targets of the service stand in the other data centre.
+        serviceOf: (_index, dataCentre) => (dataCentre === 'khomas-1' ? 'bookings' : 'catalogue'),
+      },
+      async (fleet) => {
+        const callers = () => fleet.hosts.filter(({ dataCentre }) => dataCentre === 'khomas-1');
+        const load = startLoad(fleet, context, {
+          callsPerSecond: 80,
+          orderShare: 0.2,
+          listHosts: callers,
+        });
+        let silenced = 0;
+        for (let round = 0; round < 4; round += 1) {
+          /* eslint-disable no-await-in-loop -- rounds follow one another */
+          await timers.setTimeout(ROUND_MS);
+          const result = await fleet.setLinks({ silence: true });
+          silenced += result.silenced;
+          context.say(`${result.silenced} connections silenced`);
+          /* eslint-enable no-await-in-loop */
+        }
+        await timers.setTimeout(ROUND_MS);
+        const report = await load.stop();
+        const held = loadModule.isTruthful(report) && report.answered === report.calls;
+        return { held, faults: silenced, figures: { silenced, ...report } };
+      },
+    ),
+};
--- a/packages/stand-ins/src/scenarios/table.ts
+++ b/packages/stand-ins/src/scenarios/table.ts
@@ -1,5 +1,7 @@
 /** Every scenario by its name. */
 import * as configuration from './configuration.js';
+import * as leaving from './leaving.js';
+import * as orders from './orders.js';
 import type * as types from './types.js';
 
 export const scenarios: Readonly<Record<string, types.Scenario>> = {
@@ -12,4 +14,14 @@
   'herd-restart': configuration.herdRestart,
   'frozen-proxy': configuration.frozenProxy,
   'lost-append-answer': configuration.lostAppendAnswer,
+  'own-answer': orders.ownAnswer,
+  'not-run-means-not-run': orders.notRunMeansNotRun,
+  'at-most-once': orders.atMostOnce,
+  'order-repeat': orders.orderRepeat,
+  'silent-connection': orders.silentConnection,
+  drain: leaving.drain,
+  'graceful-stop': leaving.gracefulStop,
+  'poison-request': leaving.poisonRequest,
+  'target-crash': leaving.targetCrash,
+  'cancelled-and-late': leaving.cancelledAndLate,
 };
