--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -225,6 +225,17 @@
     return [];
   };
 
+  const chooseAckMembers = (receiver: string, isContact: boolean): types.Member[] => {
+    const known = members.get(receiver);
+    // Whoever is wrongly held dead must hear of it, or it cannot refute it.
+    const first = [
+      ...(isContact ? [self] : []),
+      ...(known && known.status !== 'alive' ? [known] : []),
+    ];
+    const firstIds = first.map(({ id }) => id);
+    return [...first, ...takeUpdates(receiver).filter(({ id }) => !firstIds.includes(id))];
+  };
+
   const handlers: {
     [K in types.GossipMessage['type']]: (
       message: Extract<types.GossipMessage, { type: K }>,
@@ -241,9 +252,7 @@
           sequence: message.sequence,
           from: self.id,
           mark,
-          members: message.isContact
-            ? [self, ...takeUpdates(message.from).filter(({ id }) => id !== self.id)]
-            : takeUpdates(message.from),
+          members: chooseAckMembers(message.from, message.isContact),
         },
       },
     ],
--- /dev/null
+++ b/packages/core/test/fold.test.ts
@@ -0,0 +1,112 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+import * as fc from 'fast-check';
+import * as core from '../src/index.js';
+import * as support from './support.js';
+
+const { describe, it } = test;
+
+function toRecords(bodies: readonly unknown[]): core.OffsetRecord[] {
+  return bodies.map((body, offset) => ({ offset, body }));
+}
+
+function foldAll(records: readonly core.OffsetRecord[]): core.State {
+  return records.reduce((state, record) => core.foldRecord(state, record), core.createState());
+}
+
+describe('the fold of the configuration stream', () => {
+  it('never holds a dangling route, whatever is appended', () => {
+    fc.assert(
+      fc.property(fc.array(support.anyChange, { maxLength: 40 }), (changes) => {
+        toRecords(changes).reduce((state, record) => {
+          const next = core.foldRecord(state, record);
+          const resources = new Map(
+            Object.entries(next.resources).map(([id, { resource }]) => [id, resource]),
+          );
+          assert.deepEqual(core.checkReferences(resources), []);
+          assert.ok(next.version >= state.version);
+          return next;
+        }, core.createState());
+      }),
+      support.propertyOptions,
+    );
+  });
+
+  it('gives every reader the same state, also one that starts from a snapshot', () => {
+    fc.assert(
+      fc.property(
+        fc.array(support.anyChange, { minLength: 2, maxLength: 30 }),
+        fc.nat(),
+        fc.nat(),
+        (changes, cut, expired) => {
+          const before = toRecords(changes.slice(0, 1 + (cut % (changes.length - 1))));
+          const snapshot = core.createSnapshot(foldAll(before));
+          const bodies = [
+            ...before.map(({ body }) => body),
+            snapshot,
+            ...changes.slice(before.length),
+          ];
+          const records = toRecords(bodies);
+          const whole = foldAll(records);
+          const first = expired % (before.length + 1);
+          const late = core.recoverState(core.createState(), records.slice(first));
+          assert.equal(core.computeStateDigest(late as core.State), core.computeStateDigest(whole));
+        },
+      ),
+      support.propertyOptions,
+    );
+  });
+
+  it('folds a change once, however often it is appended', () => {
+    const change = support.createChange(1, { 'service/a': 0 }, [support.createService('a')]);
+    const other = support.createChange(2, { 'service/a': 1 }, [support.createService('a')]);
+    const state = foldAll(toRecords([change, change, other, change]));
+    assert.deepEqual(
+      state.decisions.map(({ accepted }) => accepted),
+      [true, true],
+    );
+    assert.equal(state.version, 2);
+  });
+
+  it('accepts the first of two changes made against one revision', () => {
+    const first = support.createChange(1, { 'service/a': 0 }, [support.createService('a')]);
+    const second = support.createChange(2, { 'service/a': 0 }, [support.createService('a')]);
+    const state = foldAll(toRecords([first, second]));
+    assert.deepEqual(
+      state.decisions.map(({ accepted }) => accepted),
+      [true, false],
+    );
+    assert.match(state.decisions[1]?.findings[0]?.message ?? '', /is at revision 1, not at 0/);
+  });
+
+  it('reports every finding of a refused change together', () => {
+    const change = support.createChange(1, { 'route/a': 7 }, [
+      support.createRoute('a', 'missing'),
+      support.createContract('c', ['absent']),
+    ]);
+    const [decision] = foldAll(toRecords([change])).decisions;
+    assert.deepEqual(decision?.findings.map(({ path }) => path).sort(), [
+      'contract/c',
+      'contract/c.services.0',
+      'route/a',
+      'route/a.service',
+    ]);
+  });
+
+  it('refuses to fold records out of order', () => {
+    assert.throws(
+      () => core.foldRecord(core.createState(), { offset: 1, body: {} }),
+      core.InvariantError,
+    );
+  });
+
+  it('refuses a snapshot whose digest is wrong', () => {
+    const snapshot = core.createSnapshot(core.createState());
+    assert.equal(core.readSnapshot({ ...snapshot, digest: 'other' }), undefined);
+  });
+
+  it('tells a gap from a run that a snapshot bridges', () => {
+    const records = [{ offset: 5, body: support.createChange(1, {}, []) }];
+    assert.equal(core.recoverState(core.createState(), records), undefined);
+  });
+});
--- /dev/null
+++ b/packages/core/test/replica.test.ts
@@ -0,0 +1,143 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+import * as fc from 'fast-check';
+import * as core from '../src/index.js';
+import * as support from './support.js';
+
+const { describe, it } = test;
+
+const PEERS = ['p0', 'p1', 'p2', 'p3'];
+
+interface Step {
+  kind: 'append' | 'read' | 'mark' | 'restart' | 'deliver';
+  from: number;
+  to: number;
+  change: core.Change;
+  isLost: boolean;
+}
+
+const anyStep: fc.Arbitrary<Step> = fc.record({
+  kind: fc.constantFrom('append', 'read', 'mark', 'mark', 'deliver', 'restart'),
+  from: fc.nat(PEERS.length - 1),
+  to: fc.nat(PEERS.length - 1),
+  change: support.anyChange,
+  isLost: fc.boolean(),
+});
+
+/** A few replicas, a log, and answers that are lost, doubled, delayed and reordered. */
+class World {
+  private readonly log: core.OffsetRecord[] = [];
+
+  private readonly replicas = PEERS.map(() => core.createReplica());
+
+  private readonly late: { to: number; from: string; answer: core.FetchAnswer }[] = [];
+
+  private readonly digests = new Map<number, string>();
+
+  private now = 0;
+
+  public step({ kind, from, to, change, isLost }: Step): void {
+    this.now += 100;
+    const before = this.replicas.map((replica) => replica.state().position);
+    const handlers: Record<Step['kind'], () => void> = {
+      append: () => this.log.push({ offset: this.log.length, body: change }),
+      read: () => this.replicas[from]?.receiveRecords(this.log, 'log'),
+      mark: () => this.mark(from, to, isLost),
+      deliver: () => this.deliver(),
+      restart: () => {
+        before[from] = -1;
+        this.replicas[from] = core.createReplica();
+      },
+    };
+    handlers[kind]();
+    this.check(before);
+  }
+
+  /** Lets every replica hear of every other, without faults, until nothing changes. */
+  public heal(): void {
+    this.replicas[0]?.receiveRecords(this.log, 'log');
+    for (let round = 0; round < PEERS.length * 2; round += 1) {
+      PEERS.forEach((_, from) =>
+        PEERS.forEach((__, to) => {
+          this.now += 2_000;
+          this.mark(from, to, false);
+        }),
+      );
+    }
+    const positions = new Set(this.replicas.map((replica) => replica.state().position));
+    assert.deepEqual([...positions], [this.log.length - 1]);
+  }
+
+  private mark(from: number, to: number, isLost: boolean): void {
+    const source = this.replicas[from] as core.Replica;
+    const receiver = this.replicas[to] as core.Replica;
+    if (source === receiver) return;
+    const { position, version } = source.state();
+    const mark = { position, version, digest: source.digest() };
+    const effects = receiver.receiveMark(PEERS[from] as string, mark, this.now);
+    effects.forEach((effect) => {
+      if (effect.type !== 'fetch') return;
+      const answer = source.answerFetch({ position: effect.position }, this.now, []);
+      if (isLost) receiver.receiveFailure(effect.from);
+      else receiver.receiveAnswer(effect.from, answer, this.now);
+      // The same answer arrives once more, later, after others.
+      this.late.push({ to, from: effect.from, answer });
+    });
+  }
+
+  private deliver(): void {
+    const message = this.late.shift();
+    if (message) this.replicas[message.to]?.receiveAnswer(message.from, message.answer, this.now);
+  }
+
+  private check(before: readonly number[]): void {
+    this.replicas.forEach((replica, index) => {
+      const { position } = replica.state();
+      assert.ok(position >= (before[index] ?? -1), 'a replica went back');
+      const digest = this.digests.get(position) ?? replica.digest();
+      this.digests.set(position, digest);
+      assert.equal(replica.digest(), digest, 'two replicas differ at one position');
+    });
+  }
+}
+
+describe('replicas of the configuration', () => {
+  it('only move forward, never differ at a position, and meet when they can talk', () => {
+    fc.assert(
+      fc.property(fc.array(anyStep, { maxLength: 60 }), (steps) => {
+        const world = new World();
+        steps.forEach((step) => world.step(step));
+        world.heal();
+      }),
+      support.propertyOptions,
+    );
+  });
+
+  it('refuses an older position by assertion', () => {
+    const replica = core.createReplica();
+    const records = [{ offset: 0, body: support.createChange(1, {}, []) }];
+    replica.receiveRecords(records, 'log');
+    assert.deepEqual(replica.receiveRecords(records, 'log'), []);
+    assert.equal(replica.state().position, 0);
+  });
+
+  it('fails when a peer shows another digest at the same position', () => {
+    const replica = core.createReplica();
+    assert.throws(
+      () => replica.receiveMark('p1', { position: -1, version: -1, digest: 'other' }, 0),
+      core.InvariantError,
+    );
+  });
+
+  it('sends peers elsewhere when many ask for the whole state at once', () => {
+    const replica = core.createReplica();
+    const state = core.foldRecord(core.createState(), { offset: 0, body: {} });
+    replica.receiveAnswer('p1', { type: 'snapshot', snapshot: core.createSnapshot(state) }, 0);
+    const answers = Array.from({ length: 10 }, () =>
+      replica.answerFetch({ position: -1 }, 0, ['p2', 'p3']),
+    );
+    const kinds = answers.map(({ type }) => type);
+    assert.equal(kinds.filter((kind) => kind === 'snapshot').length, 4);
+    assert.equal(kinds.filter((kind) => kind === 'busy').length, 6);
+  });
+});
--- /dev/null
+++ b/packages/core/test/routing.test.ts
@@ -0,0 +1,145 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+import * as fc from 'fast-check';
+import * as core from '../src/index.js';
+import * as support from './support.js';
+
+const { describe, it } = test;
+
+function createCandidate(id: string, change: Partial<core.Candidate> = {}): core.Candidate {
+  return {
+    id,
+    distance: 'data-centre',
+    slots: 10,
+    inFlight: 0,
+    reportedLoad: 0,
+    reportAgeMs: 0,
+    upForMs: 60_000,
+    mayCall: true,
+    ...change,
+  };
+}
+
+const anyResult = fc.record({
+  outcome: fc.constantFrom<core.Outcome>('not-run', 'unknown'),
+  reason: fc.constant('reason'),
+});
+
+describe('the choice of a target', () => {
+  const random = support.createRandom(3);
+  const choose = (candidates: core.Candidate[], excluded: string[] = []) =>
+    core.chooseTarget(candidates, new Set(excluded), core.choiceDefaults, random);
+
+  it('prefers the less loaded of two', () => {
+    const busy = createCandidate('busy', { reportedLoad: 9 });
+    const chosen = choose([busy, createCandidate('idle')]);
+    assert.equal(chosen?.id, 'idle');
+  });
+
+  it('stays in its own data centre until that is full, then spills to the nearest with room', () => {
+    const near = createCandidate('near', { inFlight: 5 });
+    const far = createCandidate('far', { distance: 'region' });
+    const remote = createCandidate('remote', { distance: 'remote' });
+    assert.equal(choose([near, far, remote])?.id, 'near');
+    const full = createCandidate('near', { inFlight: 20 });
+    assert.deepEqual(choose([full, far, remote])?.reason, 'spill');
+    assert.equal(choose([full, far, remote])?.id, 'far');
+  });
+
+  it('passes over open circuits and targets that were tried, and says so', () => {
+    const open = createCandidate('open', { mayCall: false });
+    const chosen = choose([open, createCandidate('tried'), createCandidate('free')], ['tried']);
+    assert.equal(chosen?.id, 'free');
+    assert.deepEqual(chosen?.passedOver, ['open:circuit-open', 'tried:tried']);
+    assert.equal(choose([open]), undefined);
+  });
+
+  it('sends a cold target less', () => {
+    const cold = createCandidate('cold', { upForMs: 0, inFlight: 1 });
+    assert.equal(choose([cold, createCandidate('warm', { inFlight: 5 })])?.id, 'warm');
+  });
+
+  it('spreads calls over equal targets', () => {
+    const candidates = ['a', 'b', 'c', 'd'].map((id) => createCandidate(id));
+    const counts = new Map<string, number>();
+    for (let call = 0; call < 4_000; call += 1) {
+      const id = choose(candidates)?.id ?? '';
+      counts.set(id, (counts.get(id) ?? 0) + 1);
+    }
+    counts.forEach((count) => assert.ok(count > 700 && count < 1_300, String(count)));
+  });
+});
+
+describe('the circuit of a target', () => {
+  it('opens after failures, lets one probe through, and closes when it succeeds', () => {
+    const circuit = core.createCircuit(core.circuitDefaults);
+    for (let at = 0; at < 5; at += 1) circuit.noteFailure(at);
+    assert.equal(circuit.mayCall(10), false);
+    const later = 10 + core.circuitDefaults.openMs;
+    assert.equal(circuit.mayCall(later), true);
+    circuit.noteSent(later);
+    assert.equal(circuit.mayCall(later + 1), false);
+    circuit.noteSuccess();
+    assert.equal(circuit.mayCall(later + 2), true);
+  });
+
+  it('opens again when the probe fails', () => {
+    const circuit = core.createCircuit(core.circuitDefaults);
+    for (let at = 0; at < 5; at += 1) circuit.noteFailure(at);
+    const later = 10 + core.circuitDefaults.openMs;
+    circuit.noteSent(later);
+    circuit.noteFailure(later + 1);
+    assert.equal(circuit.state(later + 2), 'open');
+  });
+});
+
+describe('outcomes and retries', () => {
+  it('says "not run" only when every attempt was not run', () => {
+    fc.assert(
+      fc.property(fc.array(anyResult, { maxLength: 5 }), (attempts) => {
+        const isAllNotRun = attempts.every(({ outcome }) => outcome === 'not-run');
+        assert.equal(core.combineOutcomes(attempts) === 'not-run', isAllNotRun);
+      }),
+      support.propertyOptions,
+    );
+  });
+
+  it('never tries again what is not idempotent and may have run', () => {
+    fc.assert(
+      fc.property(fc.array(anyResult, { minLength: 1, maxLength: 3 }), (attempts) => {
+        const again = core.mayRetry({
+          idempotent: false,
+          attempts,
+          maxAttempts: 10,
+          remainingMs: 1_000,
+          takeRetry: () => true,
+        });
+        if (attempts.some(({ outcome }) => outcome !== 'not-run')) assert.equal(again, false);
+      }),
+      support.propertyOptions,
+    );
+  });
+
+  it('keeps retries to a share of the calls', () => {
+    const budget = core.createRetryBudget({ ratio: 0.1, reserve: 5 });
+    let retries = 0;
+    for (let call = 0; call < 1_000; call += 1) {
+      budget.noteCall();
+      if (budget.takeRetry()) retries += 1;
+    }
+    assert.ok(retries <= 105, String(retries));
+  });
+});
+
+describe('the quarantine', () => {
+  it('needs two deaths, counts each once, and ends', () => {
+    const quarantine = core.createQuarantine(core.quarantineDefaults);
+    const death = { fingerprint: 'f', deathId: 'd1', at: 0 };
+    quarantine.noteDeaths([death, death], 0);
+    assert.equal(quarantine.isQuarantined('f', 1), false);
+    assert.deepEqual(quarantine.noteDeaths([death], 1), []);
+    quarantine.noteDeaths([{ ...death, deathId: 'd2' }], 1);
+    assert.equal(quarantine.isQuarantined('f', 2), true);
+    assert.equal(quarantine.isQuarantined('f', core.quarantineDefaults.ttlMs + 2), false);
+  });
+});
--- a/packages/proxy/src/ingress/caller-server.ts
+++ b/packages/proxy/src/ingress/caller-server.ts
@@ -273,6 +273,7 @@
       // Answers that are written are still on their way to slow callers.
       const until = clock.monotonic() + FLUSH_MS;
       server.closeIdleConnections();
+      // eslint-disable-next-line no-await-in-loop -- polls
       while ((await countConnections()) > 0 && clock.monotonic() < until) {
         // eslint-disable-next-line no-await-in-loop -- polls
         await timers.setTimeout(FLUSH_POLL_MS);
--- a/packages/proxy/src/tasks/gossip-task.ts
+++ b/packages/proxy/src/tasks/gossip-task.ts
@@ -216,7 +216,7 @@
     perform(membership.merge(members, clock.monotonic()));
   };
 
-  const tickSync = (now: number): void => {
+  const tickComparison = (now: number): void => {
     if (now < nextSyncAt) return;
     nextSyncAt = now + SYNC_RETRY_MS;
     syncMembers().catch(() => metrics.increment('gossip.sync-failures'));
@@ -225,7 +225,7 @@
   const tick = (): void => {
     const now = clock.monotonic();
     contactSeeds(now);
-    tickSync(now);
+    tickComparison(now);
     perform(membership.tick(now));
   };
 
--- a/packages/runtime/src/peer-client.ts
+++ b/packages/runtime/src/peer-client.ts
@@ -123,6 +123,7 @@
     const first = request(getPool(origin), method, params, timeoutMs);
     if (timeoutMs <= HEDGE_AFTER_MS) return first;
     return new Promise((resolve, reject) => {
+      let isOver = false;
       const hedge = (): void => {
         requestFresh(peer, method, params, timeoutMs - HEDGE_AFTER_MS)
           .then((answer) => {
@@ -131,7 +132,6 @@
           })
           .catch(() => undefined);
       };
-      let isOver = false;
       const timer = setTimeout(hedge, HEDGE_AFTER_MS);
       first.then(resolve, reject).finally(() => {
         isOver = true;
--- a/packages/stand-ins/src/scenarios/configuration.ts
+++ b/packages/stand-ins/src/scenarios/configuration.ts
@@ -1,5 +1,6 @@
 /** Scenarios of the configuration: it only moves forward, whole, everywhere, whatever fails. */
 import * as timers from 'node:timers/promises';
+import * as uuid from 'uuid';
 import type * as core from '@figshed/core';
 import * as operator from '../harness/operator.js';
 import * as observerModule from './observer.js';
@@ -87,16 +88,16 @@
       const [service] = fleet.topology.services;
       const base = { author: 'scenario', type: 'change', base: {}, put: [], remove: [] };
       const changes = [
-        { ...base, id: crypto.randomUUID(), put: createDangling(fleet) },
+        { ...base, id: uuid.v4(), put: createDangling(fleet) },
         {
           ...base,
-          id: crypto.randomUUID(),
+          id: uuid.v4(),
           base: { 'route/dangling': 0 },
           put: [{ kind: 'route', name: 'dangling', pathPrefix: '/d', service: 'missing' }],
         },
         {
           ...base,
-          id: crypto.randomUUID(),
+          id: uuid.v4(),
           base: { [`service/${service}`]: 1 },
           remove: [`service/${service}`],
         },
