Keep contracts for the fleet by shares that are lent, and tokens that come back

Loans end by their giver's clock and count from a moment that it proved, so two keepers at once never add up to more than the contract (property test).

Readers tell the data centres of their region at once.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,6 +34,14 @@
     ],
     rules: { 'n/no-sync': 'off', 'n/no-process-exit': 'off' },
   },
+  {
+    files: ['**/test/**'],
+    rules: {
+      'n/no-sync': 'off',
+      'import-x/no-extraneous-dependencies': ['error', { devDependencies: true }],
+      'n/no-unsupported-features/node-builtins': ['error', { ignores: ['test.describe'] }],
+    },
+  },
   {
     files: ['**/main.ts'],
     rules: { 'n/no-process-exit': 'off' },
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -57,7 +57,16 @@
   type Quarantine,
   type QuarantineOptions,
 } from './health/quarantine.js';
+export { createLending, readShare, type Lending, type ShareTable } from './limits/lending.js';
+export {
+  createPool,
+  type CustomerTerms,
+  type Pool,
+  type PoolLoan,
+  type PoolOptions,
+} from './limits/pool.js';
 export { createTokenBucket, type TokenBucket } from './limits/token-bucket.js';
+export { createWallet, walletDefaults, type Wallet, type WalletOptions } from './limits/wallet.js';
 export { membershipDefaults } from './membership/defaults.js';
 export {
   createMembership,
--- a/packages/core/src/limits/token-bucket.ts
+++ b/packages/core/src/limits/token-bucket.ts
@@ -4,8 +4,8 @@
 export interface TokenBucket {
   /** Changes the rate, in tokens per second, and the size; what is saved up is cut to the size. */
   setTerms(ratePerSecond: number, burst: number, now: number): void;
-  /** Takes one token, or returns the milliseconds until one is there. */
-  take(now: number): { admitted: true } | { admitted: false; retryAfterMs: number };
+  /** Takes whole tokens, up to `count`, and returns how many there were. */
+  takeUpTo(count: number, now: number): number;
 }
 
 const MS_PER_SECOND = 1_000;
@@ -30,20 +30,18 @@
 
   return {
     setTerms(nextRate, nextBurst, at) {
+      // The moment of the change is not known, so the lower rate counts for the time before.
+      rate = Math.min(rate, nextRate);
       fill(at);
       rate = nextRate;
       size = nextBurst;
       tokens = Math.min(tokens, size);
     },
-    take(at) {
+    takeUpTo(count, at) {
       fill(at);
-      if (tokens >= 1) {
-        tokens -= 1;
-        return { admitted: true };
-      }
-      const retryAfterMs =
-        rate > 0 ? Math.ceil(((1 - tokens) * MS_PER_SECOND) / rate) : MS_PER_SECOND;
-      return { admitted: false, retryAfterMs };
+      const taken = Math.min(Math.max(0, Math.floor(count)), Math.floor(tokens));
+      tokens -= taken;
+      return taken;
     },
   };
 }
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -305,8 +305,9 @@
     },
     merge,
     setInfo: (info, now) => replaceSelf({ info: { ...self.info, ...info } }, now),
-    setMark(next) {
-      mark = next;
+    setMark({ position, version, digest }) {
+      // Copied, so that whatever else the caller's object holds stays out of the datagrams.
+      mark = { position, version, digest };
     },
     leave: (now) =>
       replaceSelf({ status: 'left', info: { ...self.info, ready: false, target: null } }, now),
--- /dev/null
+++ b/packages/core/test/limits.test.ts
@@ -0,0 +1,150 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+import * as fc from 'fast-check';
+import * as core from '../src/index.js';
+import * as support from './support.js';
+
+const { describe, it } = test;
+
+const TERMS = { ratePerSecond: 100, burst: 10 };
+const TERM_MS = 4_000;
+const MEMBERS = 4;
+const KEEPERS = 2;
+const STEP_MS = 100;
+
+const anyStep = fc.record({
+  kind: fc.oneof(
+    { weight: 6, arbitrary: fc.constant('lend' as const) },
+    { weight: 5, arbitrary: fc.constant('take' as const) },
+    { weight: 4, arbitrary: fc.constant('own' as const) },
+    { weight: 1, arbitrary: fc.constant('deliver' as const) },
+    { weight: 1, arbitrary: fc.constant('pause' as const) },
+  ),
+  member: fc.nat(MEMBERS - 1),
+  keeper: fc.nat(KEEPERS - 1),
+  count: fc.integer({ min: 1, max: 40 }),
+  isDelayed: fc.boolean(),
+});
+
+type Step = typeof anyStep extends fc.Arbitrary<infer T> ? T : never;
+
+/** Members that lend to keepers whose views differ, over messages that are delayed at will. */
+class LimitWorld {
+  public taken = 0;
+
+  public now = 10_000;
+
+  private readonly pools = Array.from({ length: KEEPERS }, () =>
+    core.createPool({ termMs: TERM_MS, readLent: () => 0 }),
+  );
+
+  private readonly lendings = Array.from({ length: MEMBERS }, () => core.createLending(TERM_MS));
+
+  private readonly ownBuckets = Array.from({ length: MEMBERS }, () =>
+    core.createTokenBucket(0, 0, this.now),
+  );
+
+  private readonly stamps = new Map<string, number>();
+
+  private readonly late: { keeper: number; loan: core.PoolLoan }[] = [];
+
+  public step({ kind, member, keeper, count, isDelayed }: Step): void {
+    this.now += STEP_MS;
+    const handlers: Record<Step['kind'], () => void> = {
+      lend: () => this.lend(member, keeper, isDelayed),
+      take: () => {
+        this.taken += this.pools[keeper]?.take('c', TERMS, count, this.now) ?? 0;
+      },
+      own: () => this.takeOwn(member, count),
+      deliver: () => {
+        const message = this.late.shift();
+        if (message) this.pools[message.keeper]?.receiveLoan(message.loan, this.now);
+      },
+      pause: () => {
+        this.now += count * STEP_MS;
+      },
+    };
+    handlers[kind]();
+  }
+
+  private lend(member: number, keeper: number, isDelayed: boolean): void {
+    const lending = this.lendings[member] as core.Lending;
+    const holder = `k${keeper}`;
+    const key = `${member}|${keeper}`;
+    const share = Math.max(0, 1 / MEMBERS - lending.lentShare(undefined, this.now, holder));
+    const table = { share, exceptions: {} };
+    lending.lend(holder, table, this.now);
+    const loan = { ...table, from: `m${member}`, echo: this.stamps.get(key) ?? null };
+    if (isDelayed) {
+      this.late.push({ keeper, loan });
+      return;
+    }
+    this.pools[keeper]?.receiveLoan(loan, this.now);
+    this.stamps.set(key, this.now);
+  }
+
+  private takeOwn(member: number, count: number): void {
+    const bucket = this.ownBuckets[member] as core.TokenBucket;
+    const lent = this.lendings[member]?.lentShare(undefined, this.now) ?? 0;
+    const share = Math.max(0, 1 / MEMBERS - lent);
+    bucket.setTerms(TERMS.ratePerSecond * share, TERMS.burst * share, this.now);
+    this.taken += bucket.takeUpTo(count, this.now);
+  }
+}
+
+describe('limits of a customer over many processes', () => {
+  it('never admit more than the rate and the burst, whoever believes to be the keeper', () => {
+    let taken = 0;
+    fc.assert(
+      fc.property(fc.array(anyStep, { minLength: 100, maxLength: 300 }), (steps) => {
+        const world = new LimitWorld();
+        const startedAt = world.now;
+        steps.forEach((step) => {
+          world.step(step);
+          const allowed = ((world.now - startedAt) / 1_000) * TERMS.ratePerSecond + TERMS.burst;
+          assert.ok(world.taken <= allowed, `${world.taken} of ${allowed}`);
+        });
+        taken += world.taken;
+      }),
+      { ...support.propertyOptions, numRuns: 200 },
+    );
+    assert.ok(taken > 1_000, `only ${taken} tokens were taken`);
+  });
+
+  it('give one busy member nearly the whole rate while the others are idle', () => {
+    const pool = core.createPool({ termMs: TERM_MS, readLent: () => 0 });
+    let taken = 0;
+    for (let now = 0; now <= 20_000; now += 100) {
+      if (now % 1_000 === 0) {
+        for (let member = 0; member < MEMBERS; member += 1) {
+          const echo = now === 0 ? null : now - 1_000;
+          pool.receiveLoan({ from: `m${member}`, share: 0.25, exceptions: {}, echo }, now);
+        }
+      }
+      taken += pool.take('c', TERMS, 20, now);
+    }
+    assert.ok(taken > 0.9 * 20 * TERMS.ratePerSecond, String(taken));
+  });
+
+  it('count a loan only from a moment that its giver has proved', () => {
+    const pool = core.createPool({ termMs: TERM_MS, readLent: () => 0 });
+    pool.receiveLoan({ from: 'm', share: 1, exceptions: {}, echo: null }, 10_000);
+    assert.equal(pool.share('c', 10_000), 0);
+    pool.receiveLoan({ from: 'm', share: 1, exceptions: {}, echo: 1_000 }, 10_000);
+    assert.equal(pool.share('c', 10_000), 0);
+    pool.receiveLoan({ from: 'm', share: 1, exceptions: {}, echo: 9_000 }, 10_000);
+    assert.equal(pool.share('c', 10_000), 1);
+    assert.equal(pool.share('c', 13_001), 0);
+  });
+});
+
+describe('a wallet', () => {
+  it('asks for what its callers are likely to need, and lets old tokens go', () => {
+    const wallet = core.createWallet(core.walletDefaults);
+    for (let call = 0; call < 100; call += 1) wallet.spend('c', 0);
+    assert.ok((wallet.listWants(0).c ?? 0) >= 40);
+    wallet.deposit('c', 5, 0);
+    assert.equal(wallet.spend('c', 1), true);
+    assert.equal(wallet.spend('c', core.walletDefaults.tokenTtlMs + 1), false);
+  });
+});
--- a/packages/core/test/membership.test.ts
+++ b/packages/core/test/membership.test.ts
@@ -162,6 +162,21 @@
     );
   });
 
+  it('sends of a configuration only its position, version and digest', () => {
+    const member = core.createMembership({
+      id: 'm0',
+      incarnation: 1,
+      info: createInfo(0),
+      options: core.membershipDefaults,
+      random: support.createRandom(1),
+    });
+    const config = core.compileConfig(core.createState());
+    member.setMark(config);
+    const [effect] = member.contact({ address: '127.0.0.1', port: 1 });
+    assert.ok(effect?.type === 'send');
+    assert.deepEqual(Object.keys(effect.message.mark).sort(), ['digest', 'position', 'version']);
+  });
+
   it('lets a higher incarnation and then the worse status win', () => {
     const member = { id: 'm', incarnation: 2, status: 'alive' as const, info: createInfo(0) };
     assert.ok(core.isNewer({ ...member, incarnation: 3 }, { ...member, status: 'dead' }));
--- a/packages/proxy/src/ingress/caller-server.ts
+++ b/packages/proxy/src/ingress/caller-server.ts
@@ -6,10 +6,10 @@
 import * as headers from '../calls/headers.js';
 import type * as types from '../calls/types.js';
 import type * as context from '../context.js';
+import type * as limitTask from '../tasks/limit-task.js';
 import type * as orderTask from '../tasks/order-task.js';
 import * as answerWriter from './answer-writer.js';
 import type * as callRunner from './call-runner.js';
-import * as limitsModule from './limits.js';
 import * as orderGate from './order-gate.js';
 
 const names = headers.headerNames;
@@ -27,7 +27,6 @@
 
 /** The caller's side of this proxy. */
 export interface CallerServer extends context.Task {
-  limits: limitsModule.Limits;
   inFlight(): number;
   /** Answers from now on tell callers to use another connection. */
   drain(): void;
@@ -40,9 +39,22 @@
   getConfig(): core.CompiledConfig | undefined;
   runner: callRunner.CallRunner;
   orders: orderTask.OrderTask;
+  limits: limitTask.LimitTask;
   isQuarantined(fingerprint: string): boolean;
 }
 
+/** A call as it arrived, with what its contract allows. */
+interface Arrival {
+  callId: string;
+  startedAt: number;
+  allowed: core.AllowedCall;
+  method: string;
+  url: string;
+  received: types.Headers;
+  body: Buffer | undefined;
+  writer: answerWriter.AnswerWriter;
+}
+
 function readTimeout(received: types.Headers): number | undefined {
   const value = Number(headers.readHeader(received, names.timeout));
   return value > 0 ? value : undefined;
@@ -62,7 +74,6 @@
  */
 export function createCallerServer(ctx: context.Context, parts: CallerServerParts): CallerServer {
   const { settings, clock, log, metrics, instance } = ctx;
-  const limits = limitsModule.createLimits(clock.monotonic());
   const gate = orderGate.createOrderGate(ctx, parts.orders);
   const prefix = instance.replaceAll('-', '').slice(-FINGERPRINT_LENGTH);
   let count = 0;
@@ -117,59 +128,13 @@
     });
   };
 
-  const handleCall = (
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-    body: Buffer | undefined,
-  ): void => {
-    const startedAt = clock.monotonic();
-    count += 1;
-    const callId = `${prefix}-${count}`;
-    const config = parts.getConfig();
-    const received = request.headers;
-    const writer = answerWriter.createAnswerWriter(response, {
-      callId,
-      version: config?.version ?? -1,
-    });
-    if (!config) {
-      sendRefusal(writer, received, {
-        status: HTTP_UNAVAILABLE,
-        code: 'NOT_READY',
-        message: 'this proxy has no configuration yet',
-      });
-      return;
-    }
-    const url = request.url ?? '/';
-    const [path = '/'] = url.split('?');
-    const key = BEARER.exec(received.authorization ?? '')?.[1];
-    const method = request.method ?? 'GET';
-    const allowed = core.authorizeCall(config, {
-      method,
-      path,
-      keyDigest: key === undefined ? undefined : core.computeDigest(key),
-      requestedTimeoutMs: readTimeout(received),
-    });
-    if (allowed.type === 'refused') {
-      log.info('call-refused', { call: callId, code: allowed.code, path });
-      sendRefusal(writer, received, allowed);
-      return;
-    }
+  const handleAdmitted = (arrival: Arrival): void => {
+    const { callId, startedAt, allowed, method, url, received, body, writer } = arrival;
     const customer = allowed.contract.name;
-    const admittance = limits.admit(allowed.contract, startedAt);
-    if (!admittance.admitted) {
-      log.info('call-refused', { call: callId, code: 'OVER_LIMIT', customer });
-      sendRefusal(writer, received, {
-        status: HTTP_TOO_MANY,
-        code: 'OVER_LIMIT',
-        message: 'the contract allows no more calls at this moment',
-        retryAfterMs: admittance.retryAfterMs,
-      });
-      return;
-    }
     inFlight += 1;
     const onEnd = (result: callRunner.CallResult): void => {
       inFlight -= 1;
-      limits.release(customer);
+      parts.limits.release(customer);
       metrics.increment(`ingress.calls.${result.outcome}`);
       metrics.timing('ingress.call-ms', clock.monotonic() - startedAt);
       log.debug('call-ended', { call: callId, customer, ...result });
@@ -213,6 +178,76 @@
       });
   };
 
+  const handleAdmittance = (arrival: Arrival, admittance: limitTask.Admittance): void => {
+    if (admittance.admitted) {
+      handleAdmitted(arrival);
+      return;
+    }
+    const { callId, allowed, received, writer } = arrival;
+    log.info('call-refused', {
+      call: callId,
+      code: 'OVER_LIMIT',
+      customer: allowed.contract.name,
+    });
+    sendRefusal(writer, received, {
+      status: HTTP_TOO_MANY,
+      code: 'OVER_LIMIT',
+      message: 'the contract allows no more calls at this moment',
+      retryAfterMs: admittance.retryAfterMs,
+    });
+  };
+
+  const handleCall = (
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    body: Buffer | undefined,
+  ): void => {
+    const startedAt = clock.monotonic();
+    count += 1;
+    const callId = `${prefix}-${count}`;
+    const config = parts.getConfig();
+    const received = request.headers;
+    const writer = answerWriter.createAnswerWriter(response, {
+      callId,
+      version: config?.version ?? -1,
+    });
+    if (!config) {
+      sendRefusal(writer, received, {
+        status: HTTP_UNAVAILABLE,
+        code: 'NOT_READY',
+        message: 'this proxy has no configuration yet',
+      });
+      return;
+    }
+    const url = request.url ?? '/';
+    const [path = '/'] = url.split('?');
+    const key = BEARER.exec(received.authorization ?? '')?.[1];
+    const method = request.method ?? 'GET';
+    const allowed = core.authorizeCall(config, {
+      method,
+      path,
+      keyDigest: key === undefined ? undefined : core.computeDigest(key),
+      requestedTimeoutMs: readTimeout(received),
+    });
+    if (allowed.type === 'refused') {
+      log.info('call-refused', { call: callId, code: allowed.code, path });
+      sendRefusal(writer, received, allowed);
+      return;
+    }
+    const arrival: Arrival = { callId, startedAt, allowed, method, url, received, body, writer };
+    const admittance = parts.limits.admit(allowed.contract);
+    if (!(admittance instanceof Promise)) {
+      handleAdmittance(arrival, admittance);
+      return;
+    }
+    admittance
+      .then((later) => handleAdmittance(arrival, later))
+      .catch((error: unknown) => {
+        ctx.reportError('admit', error);
+        writer.abort();
+      });
+  };
+
   const receive = (request: http.IncomingMessage, response: http.ServerResponse): void => {
     const { maxBodyBytes } = settings.routing;
     if (isDraining) response.setHeader('connection', 'close');
@@ -253,7 +288,6 @@
     });
 
   return {
-    limits,
     inFlight: () => inFlight,
     drain() {
       isDraining = true;
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -17,6 +17,7 @@
 import * as gossipTask from './tasks/gossip-task.js';
 import * as healthTask from './tasks/health-task.js';
 import * as operatorMethods from './tasks/operator-methods.js';
+import * as limitTask from './tasks/limit-task.js';
 import * as orderTask from './tasks/order-task.js';
 import * as targetTask from './tasks/target-task.js';
 
@@ -28,7 +29,6 @@
 }
 
 const ASK_TIMEOUT_MS = 500;
-const SHARE_INTERVAL_MS = 250;
 const IN_FLIGHT_POLL_MS = 20;
 const SEED_RANGE = 0x7fffffff;
 const PEER_KEEP_ALIVE_MS = 60_000;
@@ -92,6 +92,7 @@
   const config = configTask.createConfigTask(ctx, gossip);
   const delegate = delegateTask.createDelegateTask(ctx, gossip, config);
   const orders = orderTask.createOrderTask(ctx, gossip);
+  const limits = limitTask.createLimitTask(ctx, gossip, config);
   const remote = remoteAttempts.createRemoteAttempts(ctx);
   const table = core.createTargetTable({
     dataCentre: settings.dataCentre,
@@ -132,6 +133,7 @@
     getConfig: () => config.current(),
     runner,
     orders,
+    limits,
     isQuarantined: health.isQuarantined,
   });
 
@@ -148,18 +150,6 @@
     },
   );
 
-  const updateShare = (): void => {
-    const compiled = config.current();
-    if (!compiled) return;
-    const dataCentres = compiled.dataCentres.length || 1;
-    const isListed =
-      compiled.dataCentres.length === 0 || compiled.dataCentres.includes(settings.dataCentre);
-    const members = gossip.membership
-      .list()
-      .filter(({ info, status }) => info.dataCentre === settings.dataCentre && status !== 'left');
-    callers.limits.setShare(isListed ? 1 / (dataCentres * Math.max(1, members.length)) : 0);
-  };
-
   bus.on('member-changed', ({ member }) => table.setMember(member, clock.monotonic()));
   ctx.peerServer.addMethods({
     'calls.ask': (params) => {
@@ -172,12 +162,12 @@
       orders,
       health,
       callers,
+      limits,
       delegate,
       egress: target.egress,
     }),
   });
 
-  let shareTimer: NodeJS.Timeout | undefined;
   let isStopping = false;
 
   const waitForCalls = async (): Promise<void> => {
@@ -199,13 +189,13 @@
       await target.start();
       await delegate.start();
       await orders.start();
+      await limits.start();
       // eslint-disable-next-line no-await-in-loop -- one wait after the other
       while (!isStopping && !(await config.waitForFirst(settings.startTimeoutMs))) {
         log.warn('no-configuration', { waitedMs: settings.startTimeoutMs });
       }
       if (isStopping) return;
-      updateShare();
-      shareTimer = setInterval(updateShare, SHARE_INTERVAL_MS);
+      await limits.waitUntilJoined();
       await callers.start();
       gossip.setInfo({ ready: true });
       log.info('ready', { version: config.current()?.version });
@@ -225,7 +215,7 @@
       gossip.leave();
       await delegate.stop();
       await config.stop();
-      clearInterval(shareTimer);
+      await limits.stop();
       await timers.setTimeout(IN_FLIGHT_POLL_MS);
       await gossip.stop();
       await target.stop();
--- a/packages/proxy/src/tasks/delegate-task.ts
+++ b/packages/proxy/src/tasks/delegate-task.ts
@@ -12,6 +12,8 @@
 
 const DELEGATES_PER_DATA_CENTRE = 2;
 const EXCHANGE_INTERVAL_MS = 1_000;
+/** Every how many intervals data centres of other regions are asked; the log brings news sooner. */
+const OTHER_REGION_INTERVALS = 2;
 const EXCHANGE_TIMEOUT_MS = 1_000;
 /** Silence after which a data centre counts as unreachable. */
 const UNREACHABLE_MS = 5_000;
@@ -82,6 +84,7 @@
   let nextContactsAt = 0;
   let isReadingContacts = false;
   let startedAt = 0;
+  let tickCount = 0;
 
   const listMembers = (dataCentre: string): core.Member[] =>
     gossip.membership
@@ -181,9 +184,17 @@
     return pool[Math.floor(ctx.random() * pool.length)];
   };
 
+  const readRegion = (dataCentre: string): string | undefined =>
+    listMembers(dataCentre)[0]?.info.region;
+
+  const listOthers = (): string[] =>
+    listDataCentres().filter((dataCentre) => dataCentre !== settings.dataCentre);
+
   const exchangeAll = (): void => {
-    listDataCentres()
-      .filter((dataCentre) => dataCentre !== settings.dataCentre)
+    tickCount += 1;
+    const isEveryRegion = tickCount % OTHER_REGION_INTERVALS === 0;
+    listOthers()
+      .filter((dataCentre) => isEveryRegion || readRegion(dataCentre) === settings.region)
       .forEach((dataCentre) => {
         const peer = choosePeer(dataCentre);
         if (!peer) return;
@@ -193,6 +204,15 @@
       });
   };
 
+  /** A reader of the log tells the other data centres of its region at once. */
+  const tellRegion = (): void =>
+    listOthers()
+      .filter((dataCentre) => readRegion(dataCentre) === settings.region)
+      .map(choosePeer)
+      .forEach((peer) => {
+        if (peer) gossip.tell(peer);
+      });
+
   const writeContacts = async (): Promise<void> => {
     const members = gossip.listReady(settings.dataCentre).slice(0, CONTACTS_PER_RECORD);
     await platform.append(CONTACTS_STREAM, { type: 'contacts', members });
@@ -233,14 +253,16 @@
     });
   };
 
+  ctx.bus.on('config-applied', ({ source }) => {
+    if (source === 'log') tellRegion();
+  });
   ctx.peerServer.addMethods({ 'delegate.exchange': handleExchange });
 
   return {
     isReachable,
     listDelegates: () =>
-      listDataCentres()
-        .filter((dataCentre) => dataCentre !== settings.dataCentre)
-        .map((dataCentre) => choosePeer(dataCentre))
+      listOthers()
+        .map(choosePeer)
         .filter((member): member is core.Member => member !== undefined),
     async start() {
       startedAt = clock.monotonic();
--- a/packages/proxy/src/tasks/gossip-task.ts
+++ b/packages/proxy/src/tasks/gossip-task.ts
@@ -56,7 +56,7 @@
 
 const syncAnswerSchema = z.object({ members: z.array(memberSchema) });
 
-const TICK_MS = 50;
+const TICK_MS = 100;
 const SYNC_INTERVAL_MS = 30_000;
 const SYNC_RETRY_MS = 500;
 const SYNC_TIMEOUT_MS = 2_000;
@@ -86,6 +86,8 @@
   /** Sends a ping to an address whose member may not be known yet. */
   contact(endpoint: core.Endpoint): void;
   leave(): void;
+  /** Tells one member, which may stand in another data centre, which configuration is held here. */
+  tell(member: core.Member): void;
   traffic(): { sent: number; received: number };
 }
 
@@ -274,6 +276,7 @@
         .slice(0, count)
         .forEach(({ member: { info } }) => perform(membership.contact(ctx.locate(info))));
     },
+    tell: ({ info }) => perform(membership.contact(ctx.locate(info))),
     contact: (endpoint) => perform(membership.contact(endpoint)),
     leave() {
       perform(membership.leave(clock.monotonic()));
--- a/packages/proxy/src/tasks/operator-methods.ts
+++ b/packages/proxy/src/tasks/operator-methods.ts
@@ -9,6 +9,7 @@
 import type * as delegateTask from './delegate-task.js';
 import type * as gossipTask from './gossip-task.js';
 import type * as healthTask from './health-task.js';
+import type * as limitTask from './limit-task.js';
 import type * as orderTask from './order-task.js';
 
 const { z } = zod;
@@ -23,6 +24,7 @@
   orders: orderTask.OrderTask;
   health: healthTask.HealthTask;
   callers: callerServer.CallerServer;
+  limits: limitTask.LimitTask;
   delegate: delegateTask.DelegateTask;
   egress: egressModule.Egress;
 }
@@ -46,7 +48,14 @@
   metrics: Record<string, number>;
   memoryBytes: number;
   cpuMs: number;
-  controlBytes: { sent: number; received: number };
+  controlBytes: {
+    sent: number;
+    received: number;
+    /** Part of both that is gossip. */
+    datagrams: number;
+    /** Bytes of requests made, and of their answers, by method. */
+    requests: Record<string, number>;
+  };
 }
 
 const MICROSECONDS_PER_MS = 1_000;
@@ -62,7 +71,7 @@
   parts: OperatorParts,
 ): Record<string, runtime.PeerMethod> {
   const { settings, metrics, instance, peers } = ctx;
-  const { gossip, config, orders, health, callers, delegate, egress } = parts;
+  const { gossip, config, orders, health, callers, limits, delegate, egress } = parts;
 
   const readStatus = (): ProxyStatus => {
     const self = gossip.membership.self();
@@ -92,6 +101,8 @@
       controlBytes: {
         sent: datagrams.sent + requests.sent,
         received: datagrams.received + requests.received,
+        datagrams: datagrams.sent + datagrams.received,
+        requests: requests.byMethod,
       },
     };
   };
@@ -132,7 +143,7 @@
         proxy: settings.id,
         version: compiled?.version ?? -1,
         contract: contract ? { ...contract, keyDigests: contract.keyDigests.length } : null,
-        limits: callers.limits.describe(customer),
+        limits: limits.describe(customer),
       };
     },
     'decision.get': (params) => {
--- a/packages/proxy/src/tasks/order-task.ts
+++ b/packages/proxy/src/tasks/order-task.ts
@@ -203,6 +203,7 @@
   };
 
   const tick = (): void => {
+    if (claimers.size === 0 && settlements.length === 0) return;
     const now = clock.monotonic();
     claimers.forEach(({ usedAt }, partition) => {
       handle(partition, (claimer) => claimer.tick(now, clock.now()));
--- a/packages/runtime/src/peer-client.ts
+++ b/packages/runtime/src/peer-client.ts
@@ -26,8 +26,8 @@
     params: unknown,
     timeoutMs: number,
   ): Promise<unknown>;
-  /** Bytes sent and received so far. */
-  traffic(): { sent: number; received: number };
+  /** Bytes sent and received so far, and both by method. */
+  traffic(): { sent: number; received: number; byMethod: Record<string, number> };
   close(): Promise<void>;
 }
 
@@ -48,7 +48,7 @@
  */
 export function createPeerClient(fleetKey: string): PeerClient {
   const pools = new Map<string, undici.Pool>();
-  const traffic = { sent: 0, received: 0 };
+  const traffic = { sent: 0, received: 0, byMethod: {} as Record<string, number> };
 
   const getPool = (origin: string): undici.Pool => {
     const known = pools.get(origin);
@@ -63,11 +63,16 @@
 
   const send = async (
     dispatcher: undici.Dispatcher,
+    method: string,
     payload: unknown,
     timeoutMs: number,
   ): Promise<unknown> => {
+    const count = (direction: 'sent' | 'received', bytes: number): void => {
+      traffic[direction] += bytes;
+      traffic.byMethod[method] = (traffic.byMethod[method] ?? 0) + bytes;
+    };
     const body = msgpack.encode(payload, { ignoreUndefined: true });
-    traffic.sent += body.byteLength + EXCHANGE_OVERHEAD_BYTES;
+    count('sent', body.byteLength + EXCHANGE_OVERHEAD_BYTES);
     const answer = await dispatcher.request({
       method: 'POST',
       path: '/rpc',
@@ -79,7 +84,7 @@
       signal: AbortSignal.timeout(timeoutMs),
     });
     const bytes = await answer.body.arrayBuffer();
-    traffic.received += bytes.byteLength + EXCHANGE_OVERHEAD_BYTES;
+    count('received', bytes.byteLength + EXCHANGE_OVERHEAD_BYTES);
     if (answer.statusCode !== HTTP_OK) throw new errors.PeerError(`status ${answer.statusCode}`);
     return msgpack.decode(new Uint8Array(bytes));
   };
@@ -91,7 +96,9 @@
     timeoutMs: number,
   ): Promise<unknown> => {
     const client = new jsonRpc.JSONRPCClient(async (payload) => {
-      client.receive((await send(dispatcher, payload, timeoutMs)) as jsonRpc.JSONRPCResponse);
+      client.receive(
+        (await send(dispatcher, method, payload, timeoutMs)) as jsonRpc.JSONRPCResponse,
+      );
     });
     try {
       return await client.request(method, params);
@@ -143,7 +150,7 @@
   return {
     request: requestHedged,
     requestFresh,
-    traffic: () => ({ ...traffic }),
+    traffic: () => ({ ...traffic, byMethod: { ...traffic.byMethod } }),
     async close() {
       await Promise.all([...pools.values()].map((pool) => pool.destroy()));
       pools.clear();
--- a/packages/stand-ins/src/harness/child.ts
+++ b/packages/stand-ins/src/harness/child.ts
@@ -1,12 +1,11 @@
 /** Child processes of the runners: started, watched, and ended by their own id. */
 import * as childProcess from 'node:child_process';
-import * as readline from 'node:readline';
 
 /** One child process. */
 export interface Child {
   name: string;
   pid: number;
-  lines: string[];
+  readonly lines: string[];
   /** Resolves with the first line that matches, past lines included. */
   waitForLine(pattern: RegExp, timeoutMs: number): Promise<string>;
   onLine(handler: (line: string) => void): void;
@@ -45,13 +44,24 @@
   children.add(child);
   const lines: string[] = [];
   const handlers = new Set<(line: string) => void>();
-  const receive = (line: string): void => {
-    lines.push(line);
-    if (lines.length > MAX_LINES) lines.shift();
-    handlers.forEach((handler) => handler(line));
+  let unread: string[] = [];
+  let partial = '';
+  /** Splits what was printed; put off while nobody looks, so that runners spend little on it. */
+  const readLines = (): string[] => {
+    const fresh = `${partial}${unread.join('')}`.split('\n');
+    unread = [];
+    partial = fresh.pop() ?? '';
+    lines.push(...fresh);
+    if (lines.length > MAX_LINES) lines.splice(0, lines.length - MAX_LINES);
+    fresh.forEach((line) => [...handlers].forEach((handler) => handler(line)));
+    return lines;
   };
-  readline.createInterface({ input: child.stdout }).on('line', receive);
-  readline.createInterface({ input: child.stderr }).on('line', receive);
+  [child.stdout, child.stderr].forEach((stream) =>
+    stream.setEncoding('utf8').on('data', (text: string) => {
+      unread.push(text);
+      if (handlers.size > 0) readLines();
+    }),
+  );
   let isRunning = true;
   const exited = new Promise<string>((resolve) => {
     child.once('exit', (code, signal) => {
@@ -63,13 +73,15 @@
   return {
     name,
     pid: child.pid ?? -1,
-    lines,
+    get lines() {
+      return readLines();
+    },
     exited,
     isRunning: () => isRunning,
     onLine: (handler) => handlers.add(handler),
     signal: (signal) => child.kill(signal),
     async waitForLine(pattern, timeoutMs) {
-      const known = lines.find((line) => pattern.test(line));
+      const known = readLines().find((line) => pattern.test(line));
       if (known !== undefined) return known;
       return new Promise((resolve, reject) => {
         const watch: { timer?: NodeJS.Timeout } = {};
--- a/packages/stand-ins/src/harness/fleet.ts
+++ b/packages/stand-ins/src/harness/fleet.ts
@@ -24,6 +24,8 @@
   settingsFile: string;
   service: string;
   proxy: childModule.Child | undefined;
+  /** Whether the proxy takes calls. */
+  isReady: boolean;
   target: childModule.Child | undefined;
 }
 
@@ -122,6 +124,7 @@
         settingsFile: '',
         service: options.serviceOf?.(index, name) ?? (services[index % services.length] as string),
         proxy: undefined,
+        isReady: false,
         target: undefined,
       };
     }),
@@ -224,8 +227,10 @@
   };
 
   const startProxy = async (host: FleetHost): Promise<void> => {
+    host.isReady = false;
     host.proxy = childModule.startChild(host.id, scripts.proxy, ['run', host.settingsFile], {});
     await host.proxy.waitForLine(/event=ready/, START_TIMEOUT_MS);
+    host.isReady = true;
   };
 
   const startTarget = async (
--- a/packages/stand-ins/src/scenarios/load.ts
+++ b/packages/stand-ins/src/scenarios/load.ts
@@ -38,6 +38,8 @@
   orders: number;
   ordersDone: number;
   replays: number;
+  /** Answers that were not done, counted by what they said. */
+  failures: Record<string, number>;
   /** Answers that belong to another call. */
   foreignAnswers: string[];
   runTwice: string[];
@@ -120,6 +122,7 @@
     orders: 0,
     ordersDone: 0,
     replays: 0,
+    failures: {},
     foreignAnswers: [],
     runTwice: [],
     notRunButRan: [],
@@ -146,8 +149,15 @@
     });
   };
 
+  const noteFailure = (answer: callerModule.CallAnswer): void => {
+    const message = /"message":"([^"]*)"/.exec(answer.body)?.[1] ?? answer.body.slice(0, 60);
+    const text = `${answer.status} ${message}`;
+    report.failures[text] = (report.failures[text] ?? 0) + 1;
+  };
+
   const note = (answer: callerModule.CallAnswer, path: string): void => {
     report.calls += 1;
+    if (answer.status !== HTTP_OK) noteFailure(answer);
     if (samples.length < MAX_SAMPLES) samples.push(answer.ms);
     if (answer.status === HTTP_OK) {
       report.answered += 1;
--- a/packages/stand-ins/src/scenarios/setup.ts
+++ b/packages/stand-ins/src/scenarios/setup.ts
@@ -89,7 +89,7 @@
       [...oldTargets, ...fleet.hosts.map(({ target }) => target)].flatMap(
         (target) => target?.lines ?? [],
       ),
-    listRunning: () => fleet.hosts.filter(({ proxy }) => proxy?.isRunning()),
+    listRunning: () => fleet.hosts.filter(({ proxy, isReady }) => isReady && proxy?.isRunning()),
     async replaceTarget(host) {
       if (host.target) oldTargets.push(host.target);
       await fleet.startTarget(host);
--- a/packages/stand-ins/src/scenarios/table.ts
+++ b/packages/stand-ins/src/scenarios/table.ts
@@ -1,5 +1,6 @@
 /** Every scenario by its name. */
 import * as configuration from './configuration.js';
+import * as contracts from './contracts.js';
 import * as leaving from './leaving.js';
 import * as orders from './orders.js';
 import type * as types from './types.js';
@@ -23,5 +24,7 @@
   'graceful-stop': leaving.gracefulStop,
   'poison-request': leaving.poisonRequest,
   'target-crash': leaving.targetCrash,
+  'contract-limits': contracts.contractLimits,
+  overload: contracts.overload,
   'cancelled-and-late': leaving.cancelledAndLate,
 };
--- a/packages/stand-ins/src/target/target-server.ts
+++ b/packages/stand-ins/src/target/target-server.ts
@@ -159,7 +159,7 @@
     const abort = new AbortController();
     response.once('close', () => abort.abort());
     try {
-      await timers.setTimeout(serviceMs, undefined, { signal: abort.signal });
+      if (serviceMs > 0) await timers.setTimeout(serviceMs, undefined, { signal: abort.signal });
     } catch {
       report(`cancelled call=${String(request.headers['x-request-id'])}\n`);
       return;
