--- a/packages/proxy/src/tasks/order-task.ts
+++ b/packages/proxy/src/tasks/order-task.ts
@@ -8,6 +8,7 @@
 /** Claimers tried for one request before it is refused. */
 const MAX_CLAIMERS = 3;
 const TICK_MS = 25;
+const IDLE_TICK_MS = 250;
 const SETTLE_RETRY_MS = 1_000;
 const SETTLE_TTL_MS = 300_000;
 /** A claimer that failed is passed over for this long. */
@@ -203,7 +204,6 @@
   };
 
   const tick = (): void => {
-    if (claimers.size === 0 && settlements.length === 0) return;
     const now = clock.monotonic();
     claimers.forEach(({ usedAt }, partition) => {
       handle(partition, (claimer) => claimer.tick(now, clock.now()));
@@ -212,6 +212,17 @@
     tickSettlements(now);
   };
 
+  const scheduleTick = (): void => {
+    const isIdle = claimers.size === 0 && settlements.length === 0;
+    timer = setTimeout(
+      () => {
+        tick();
+        scheduleTick();
+      },
+      isIdle ? IDLE_TICK_MS : TICK_MS,
+    );
+  };
+
   bus.on('order-done', ({ orderKey, claimId, answer }) => {
     const settlement = settle({ type: 'done', key: orderKey, claimId, answer });
     sendSettlement(settlement).catch((error: unknown) => ctx.reportError('settle', error));
@@ -240,7 +251,7 @@
       };
     },
     async start() {
-      timer = setInterval(tick, TICK_MS);
+      scheduleTick();
     },
     async stop() {
       // Outcomes that are not recorded yet are sent before the process ends.
@@ -249,7 +260,7 @@
         // eslint-disable-next-line no-await-in-loop
         await timers.setTimeout(TICK_MS);
       }
-      clearInterval(timer);
+      clearTimeout(timer);
     },
   };
 }
