--- a/packages/core/src/limits/pool.ts
+++ b/packages/core/src/limits/pool.ts
@@ -28,8 +28,11 @@
   share(customer: string | undefined, now: number): number;
   /** Share that stays held until a moment, and may be lent on until then. */
   shareUntil(customer: string | undefined, until: number): number;
-  /** Brings every bucket up to date with the shares; call it every second. */
-  tick(now: number): void;
+  /**
+   * Brings the buckets of all customers up to date with the shares; call it every second. A
+   * customer earns tokens from the first call on, so its first question finds some.
+   */
+  tick(customers: ReadonlyMap<string, CustomerTerms>, now: number): void;
 }
 
 interface Entry extends PoolLoan {
@@ -74,29 +77,33 @@
     bucket.setTerms(terms.ratePerSecond * share, terms.burst * share, now);
   };
 
+  const updateTerms = (customer: string, terms: CustomerTerms, now: number): Account => {
+    const known = accounts.get(customer);
+    const account = known ?? { bucket: tokenBucket.createTokenBucket(0, 0, now), terms };
+    account.terms = terms;
+    accounts.set(customer, account);
+    update(customer, account, now);
+    return account;
+  };
+
   return {
     receiveLoan(loan, now) {
       const until = loan.echo === null ? -Infinity : loan.echo + options.termMs;
       if (until > now) loans.set(loan.from, { ...loan, until });
       accounts.forEach((account, customer) => update(customer, account, now));
     },
-    take(customer, terms, count, now) {
-      const account = accounts.get(customer) ?? {
-        bucket: tokenBucket.createTokenBucket(0, 0, now),
-        terms,
-      };
-      account.terms = terms;
-      accounts.set(customer, account);
-      update(customer, account, now);
-      return account.bucket.takeUpTo(count, now);
-    },
+    take: (customer, terms, count, now) =>
+      updateTerms(customer, terms, now).bucket.takeUpTo(count, now),
     share: readShare,
     shareUntil,
-    tick(now) {
+    tick(customers, now) {
       loans.forEach((loan, from) => {
         if (loan.until <= now) loans.delete(from);
       });
-      accounts.forEach((account, customer) => update(customer, account, now));
+      customers.forEach((terms, customer) => updateTerms(customer, terms, now));
+      [...accounts.keys()]
+        .filter((customer) => !customers.has(customer))
+        .forEach((customer) => accounts.delete(customer));
     },
   };
 }
--- a/packages/core/test/limits.test.ts
+++ b/packages/core/test/limits.test.ts
@@ -138,6 +138,17 @@
   });
 });
 
+describe('a pool', () => {
+  it('has tokens for the first question about a customer', () => {
+    const pool = core.createPool({ termMs: TERM_MS, readLent: () => 0 });
+    const customers = new Map([['c', TERMS]]);
+    pool.receiveLoan({ from: 'm', share: 1, exceptions: {}, echo: 0 }, 1);
+    pool.tick(customers, 1);
+    pool.tick(customers, 1_001);
+    assert.equal(pool.take('c', TERMS, 1, 1_001), 1);
+  });
+});
+
 describe('a wallet', () => {
   it('asks for what its callers are likely to need, and lets old tokens go', () => {
     const wallet = core.createWallet(core.walletDefaults);
--- a/packages/stand-ins/src/harness/fleet.ts
+++ b/packages/stand-ins/src/harness/fleet.ts
@@ -84,16 +84,23 @@
 /** Path of the operators' command. */
 export const cliScript = scripts.cli;
 
-async function findFreePort(address: string): Promise<number> {
+const MIN_PORT = 12_000;
+/** Below the ports that the system gives to outgoing connections. */
+const MAX_PORT = 30_000;
+let nextPort = MIN_PORT + Math.floor(Math.random() * (MAX_PORT - MIN_PORT));
+
+function isFree(address: string, port: number): Promise<boolean> {
   const server = net.createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, address, resolve);
-  });
-  const { port } = server.address() as net.AddressInfo;
-  await new Promise((resolve) => {
-    server.close(resolve);
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, address, () => server.close(() => resolve(true)));
   });
-  return port;
+}
+
+async function findFreePort(address: string): Promise<number> {
+  const port = nextPort;
+  nextPort = nextPort >= MAX_PORT ? MIN_PORT : nextPort + 1;
+  return (await isFree(address, port)) ? port : findFreePort(address);
 }
 
 function readPort(line: string): number {
--- a/packages/stand-ins/src/scenarios/table.ts
+++ b/packages/stand-ins/src/scenarios/table.ts
@@ -1,6 +1,7 @@
 /** Every scenario by its name. */
 import * as configuration from './configuration.js';
 import * as contracts from './contracts.js';
+import * as downloads from './downloads.js';
 import * as leaving from './leaving.js';
 import * as orders from './orders.js';
 import type * as types from './types.js';
@@ -26,5 +27,7 @@
   'target-crash': leaving.targetCrash,
   'contract-limits': contracts.contractLimits,
   overload: contracts.overload,
+  download: downloads.brokenDownload,
+  'log-down-calls': downloads.logDownCalls,
   'cancelled-and-late': leaving.cancelledAndLate,
 };
