--- a/packages/core/src/limits/pool.ts
+++ b/packages/core/src/limits/pool.ts
@@ -24,6 +24,8 @@
   receiveLoan(loan: PoolLoan, now: number): void;
   /** Takes up to `count` tokens of a customer. */
   take(customer: string, terms: CustomerTerms, count: number, now: number): number;
+  /** Starts a contract that was not in force before, with the burst of the shares held. */
+  open(customer: string, terms: CustomerTerms, now: number): void;
   /** Share of a customer's contract that is held, less what was lent on. */
   share(customer: string | undefined, now: number): number;
   /** Share that stays held until a moment, and may be lent on until then. */
@@ -94,6 +96,12 @@
     },
     take: (customer, terms, count, now) =>
       updateTerms(customer, terms, now).bucket.takeUpTo(count, now),
+    open(customer, terms, now) {
+      const share = readShare(customer, now);
+      const [rate, burst] = [terms.ratePerSecond * share, terms.burst * share];
+      const bucket = tokenBucket.createTokenBucket(rate, burst, now, burst);
+      accounts.set(customer, { bucket, terms });
+    },
     share: readShare,
     shareUntil,
     tick(customers, now) {
--- a/packages/core/src/limits/token-bucket.ts
+++ b/packages/core/src/limits/token-bucket.ts
@@ -11,16 +11,21 @@
 const MS_PER_SECOND = 1_000;
 
 /**
- * Creates an empty bucket; it is filled at its rate from `now` on, so that a restart grants
- * nothing anew.
+ * Creates a bucket that holds `initial` tokens. It is empty unless that is given, so that a restart
+ * grants nothing anew.
  *
  * @example
  * const bucket = createTokenBucket(10, 5, clock.monotonic());
  */
-export function createTokenBucket(ratePerSecond: number, burst: number, now: number): TokenBucket {
+export function createTokenBucket(
+  ratePerSecond: number,
+  burst: number,
+  now: number,
+  initial = 0,
+): TokenBucket {
   let rate = ratePerSecond;
   let size = burst;
-  let tokens = 0;
+  let tokens = initial;
   let filledAt = now;
 
   const fill = (at: number): void => {
--- a/packages/proxy/src/ingress/answer-writer.ts
+++ b/packages/proxy/src/ingress/answer-writer.ts
@@ -150,6 +150,11 @@
         .end(body);
     },
     sendReplay({ status, contentType, body }) {
+      // Part of the answer was sent already; the caller must see that it broke.
+      if (response.headersSent || response.destroyed) {
+        response.destroy();
+        return;
+      }
       const bytes = Buffer.from(body ?? '', 'base64');
       response
         .writeHead(status, {
--- a/packages/proxy/src/ingress/call-runner.ts
+++ b/packages/proxy/src/ingress/call-runner.ts
@@ -77,6 +77,11 @@
   quarantined: 'neutral',
   'refused-by-target': 'neutral',
   draining: 'neutral',
+  'silent-connection': 'neutral',
+  // Also the end of what was open when a silent connection's peers were replaced; a proxy that is
+  // really gone refuses the next connection.
+  'connection-lost': 'neutral',
+  'proxy-restarted': 'neutral',
 };
 
 /**
--- a/packages/proxy/src/ingress/order-gate.ts
+++ b/packages/proxy/src/ingress/order-gate.ts
@@ -24,6 +24,8 @@
 const HTTP_UNPROCESSABLE = 422;
 const HTTP_UNAVAILABLE = 503;
 const REPEAT_POLL_MS = 250;
+/** How long a repeat waits for the outcome of the request before it. */
+const MAX_REPEAT_WAIT_MS = 2_000;
 const RELEASE_WAIT_MS = 1_000;
 const RETRY_AFTER_MS = 1_000;
 
@@ -78,7 +80,8 @@
     first: Extract<core.ClaimResult, { type: 'taken' }>,
   ): Promise<Extract<core.ClaimResult, { type: 'taken' }>> => {
     let known = first;
-    while (!known.answer && clock.monotonic() + REPEAT_POLL_MS < call.deadlineAt) {
+    const until = Math.min(call.deadlineAt, clock.monotonic() + MAX_REPEAT_WAIT_MS);
+    while (!known.answer && clock.monotonic() + REPEAT_POLL_MS < until) {
       /* eslint-disable no-await-in-loop -- one question after the other */
       await timers.setTimeout(REPEAT_POLL_MS);
       // The same claim as the one that holds the key, so that asking never claims anything.
--- a/packages/proxy/src/limits/keeper.ts
+++ b/packages/proxy/src/limits/keeper.ts
@@ -12,6 +12,8 @@
   client: keeperClient.KeeperClient;
   /** Lends onward what the data centre does not need, as its keeper. */
   lendOnward(group: number, now: number): Promise<void>;
+  /** Starts a contract that was not in force before. */
+  open(contract: core.Contract, now: number): void;
   tick(now: number): void;
   describe(customer: string, now: number): Record<string, number>;
 }
@@ -162,6 +164,11 @@
     receiveLoan,
     take,
     lendOnward,
+    open(contract, now) {
+      const { pool, fleetPool } = getGroup(placementModule.findGroup(contract.name));
+      pool.open(contract.name, contract, now);
+      fleetPool.open(contract.name, contract, now);
+    },
     tick(now) {
       const contracts = [...(config.current()?.contracts ?? [])];
       groups.forEach(({ pool, fleetPool }, index) => {
--- a/packages/proxy/src/tasks/config-task.ts
+++ b/packages/proxy/src/tasks/config-task.ts
@@ -26,6 +26,8 @@
   /** The configuration in force, or undefined before the first. */
   current(): core.CompiledConfig | undefined;
   replica: core.Replica;
+  /** What is in force here; the digest is empty while nothing is. */
+  readMark(): core.ConfigMark;
   /** Resolves when a first configuration is in force, or when the bound has passed. */
   waitForFirst(timeoutMs: number): Promise<boolean>;
   /** Notes what a process of another data centre holds. */
@@ -116,7 +118,8 @@
     });
 
   const isReader = (): boolean => {
-    const ids = gossip.listHolders({ region: settings.region }).map(({ id }) => id);
+    // Reading needs no readiness, and this set is steadier while a fleet starts.
+    const ids = gossip.listAlive({ region: settings.region }).map(({ id }) => id);
     const duty = `config-reader|${settings.region}`;
     return core.chooseHolders(duty, ids, READERS_PER_REGION).includes(settings.id);
   };
@@ -207,6 +210,11 @@
   return {
     current: () => compiled,
     replica,
+    readMark: () => ({
+      position: compiled?.position ?? -1,
+      version: compiled?.version ?? -1,
+      digest: compiled?.digest ?? '',
+    }),
     receiveMark,
     async waitForFirst(timeoutMs) {
       if (compiled) return true;
--- a/packages/proxy/src/tasks/delegate-task.ts
+++ b/packages/proxy/src/tasks/delegate-task.ts
@@ -108,11 +108,6 @@
   const isDelegate = (): boolean =>
     listDelegatesOf(settings.dataCentre).some(({ id }) => id === settings.id);
 
-  const readMark = (): core.ConfigMark => {
-    const { position, version } = config.replica.state();
-    return { position, version, digest: config.replica.digest() };
-  };
-
   const dropAbsent = (dataCentre: string, ids: readonly string[]): void => {
     const cutoff = clock.now() - ABSENT_MS;
     const absent = listMembers(dataCentre)
@@ -142,7 +137,7 @@
     const question: Exchange = {
       from: settings.id,
       dataCentre: settings.dataCentre,
-      mark: readMark(),
+      mark: config.readMark(),
       digest: computeMembersDigest(members),
       known: isMismatch
         ? Object.fromEntries(members.map((member) => [member.id, formatRecord(member)]))
@@ -170,7 +165,7 @@
     const own = listMembers(settings.dataCentre);
     const { known } = question;
     return {
-      mark: readMark(),
+      mark: config.readMark(),
       isSame: computeMembersDigest(own) === question.digest,
       members: known ? own.filter((member) => known[member.id] !== formatRecord(member)) : [],
       ids: known ? own.map(({ id }) => id) : [],
--- a/packages/proxy/src/tasks/gossip-task.ts
+++ b/packages/proxy/src/tasks/gossip-task.ts
@@ -72,6 +72,8 @@
 /** The membership of this process, read by the other tasks. */
 export interface GossipTask extends context.Task {
   membership: core.Membership;
+  /** Members of a place that are alive, whether or not they take calls. */
+  listAlive(place: Place): core.Member[];
   /** Members of a data centre that are alive and take calls. */
   listReady(dataCentre: string): core.Member[];
   /**
@@ -264,6 +266,7 @@
 
   return {
     membership,
+    listAlive,
     listReady,
     listHolders,
     merge: (members) => perform(membership.merge(members, clock.monotonic())),
--- a/packages/proxy/src/tasks/limit-task.ts
+++ b/packages/proxy/src/tasks/limit-task.ts
@@ -13,6 +13,9 @@
 import type * as configTask from './config-task.js';
 import type * as gossipTask from './gossip-task.js';
 
+/** Questions for tokens that one call waits for at most. */
+const MAX_ASKS = 4;
+
 /** Whether a call may go on. */
 export type Admittance = { admitted: true } | { admitted: false; retryAfterMs: number };
 
@@ -27,6 +30,14 @@
   describe(customer: string): Record<string, number>;
 }
 
+interface UrgentState {
+  /** Calls that wait for tokens. */
+  waiting: number;
+  /** When a question last brought none. */
+  emptyAt: number;
+  asking: Promise<void> | undefined;
+}
+
 interface Group {
   wallet: core.Wallet;
   /** Loans of this process to the keeper of its data centre. */
@@ -58,7 +69,8 @@
   const groups = Array.from({ length: constants.GROUPS }, createGroup);
   const ownBuckets = new Map<string, core.TokenBucket>();
   const open = new Map<string, number>();
-  const urgent = new Map<string, { at: number; answer: Promise<void> }>();
+  const urgent = new Map<string, UrgentState>();
+  let lastConfig: core.CompiledConfig | undefined;
   const startedAt = clock.monotonic();
   const timers: NodeJS.Timeout[] = [];
 
@@ -89,14 +101,18 @@
     await keeper.client.lend(holder, { level: 'member', group: index, ...table });
   };
 
-  const fetchTokens = async (group: number, wants: messages.TokenCounts): Promise<void> => {
+  const fetchTokens = async (
+    group: number,
+    wants: messages.TokenCounts,
+  ): Promise<messages.TokenCounts> => {
     const holder = placement.findKeeper(settings.dataCentre, group);
-    if (!holder || Object.keys(wants).length === 0) return;
+    if (!holder || Object.keys(wants).length === 0) return {};
     const granted = await keeper.client.take(holder, 'member', wants);
     const now = clock.monotonic();
     Object.entries(granted).forEach(([customer, count]) =>
       getGroup(group).wallet.deposit(customer, count, now),
     );
+    return granted;
   };
 
   /** Brings the tokens that this process earns by what it has not lent up to date. */
@@ -109,6 +125,26 @@
     return bucket;
   };
 
+  const readOwnShare = (customer: string, now: number): number => {
+    const { lending } = getGroup(placementModule.findGroup(customer));
+    return Math.max(0, readBase(now) - lending.lentShare(undefined, now));
+  };
+
+  /** Contracts that were not in force before start with their burst, wherever shares are held. */
+  const openNew = (next: core.CompiledConfig): void => {
+    const before = lastConfig;
+    lastConfig = next;
+    if (!before) return;
+    const now = clock.monotonic();
+    next.contracts.forEach((contract, customer) => {
+      if (before.contracts.has(customer)) return;
+      keeper.open(contract, now);
+      const share = readOwnShare(customer, now);
+      const [rate, burst] = [contract.ratePerSecond * share, contract.burst * share];
+      ownBuckets.set(customer, core.createTokenBucket(rate, burst, now, burst));
+    });
+  };
+
   const spendOwn = (contract: core.Contract, now: number): boolean =>
     updateOwn(contract, readBase(now), now).takeUpTo(1, now) === 1;
 
@@ -126,24 +162,52 @@
     return wallet.spend(contract.name, now) || spendOwn(contract, now);
   };
 
-  const askUrgently = (customer: string, now: number): Promise<void> => {
-    const known = urgent.get(customer);
-    if (known && now - known.at < constants.URGENT_INTERVAL_MS) return known.answer;
+  /** Asks for as many tokens as calls wait; one question per customer at a time. */
+  const askUrgently = (customer: string): Promise<void> => {
+    const state = urgent.get(customer) ?? { waiting: 0, emptyAt: -Infinity, asking: undefined };
+    urgent.set(customer, state);
+    if (state.asking) return state.asking;
     const group = placementModule.findGroup(customer);
-    const count = Math.max(1, getGroup(group).wallet.listWants(now)[customer] ?? 0);
-    const answer = fetchTokens(group, { [customer]: count }).catch(() => {
-      metrics.increment('limits.keeper-failures');
-    });
-    urgent.set(customer, { at: now, answer });
-    return answer;
+    state.asking = fetchTokens(group, { [customer]: Math.max(1, state.waiting) })
+      .then((granted) => {
+        if ((granted[customer] ?? 0) === 0) state.emptyAt = clock.monotonic();
+      })
+      .catch(() => {
+        state.emptyAt = clock.monotonic();
+        metrics.increment('limits.keeper-failures');
+      })
+      .finally(() => {
+        state.asking = undefined;
+      });
+    return state.asking;
+  };
+
+  const isEmptyLately = (customer: string): boolean => {
+    const state = urgent.get(customer);
+    return state !== undefined && clock.monotonic() - state.emptyAt < constants.URGENT_INTERVAL_MS;
+  };
+
+  const countWaiting = (customer: string, change: number): void => {
+    const state = urgent.get(customer);
+    if (state) state.waiting += change;
+    else urgent.set(customer, { waiting: change, emptyAt: -Infinity, asking: undefined });
   };
 
   const admitLater = async (contract: core.Contract): Promise<Admittance> => {
-    await askUrgently(contract.name, clock.monotonic());
-    if (!spend(contract, clock.monotonic())) {
+    const { name } = contract;
+    countWaiting(name, 1);
+    let isAdmitted = false;
+    // The first question may have been asked before this call came, for others.
+    for (let tries = 0; tries < MAX_ASKS && !isAdmitted && !isEmptyLately(name); tries += 1) {
+      // eslint-disable-next-line no-await-in-loop -- one question after the other
+      await askUrgently(name);
+      isAdmitted = spend(contract, clock.monotonic());
+    }
+    countWaiting(name, -1);
+    if (!isAdmitted) {
       return { admitted: false, retryAfterMs: constants.NOT_ADMITTED_RETRY_MS };
     }
-    open.set(contract.name, (open.get(contract.name) ?? 0) + 1);
+    open.set(name, (open.get(name) ?? 0) + 1);
     return { admitted: true };
   };
 
@@ -157,6 +221,7 @@
     }
   };
 
+  ctx.bus.on('config-applied', ({ config: next }) => openNew(next));
   ctx.peerServer.addMethods({
     'limits.lend': (params) => keeper.receiveLoan(params),
     'limits.take': async (params) => {
--- a/packages/stand-ins/src/scenarios/observer.ts
+++ b/packages/stand-ins/src/scenarios/observer.ts
@@ -62,6 +62,8 @@
     }
     last.set(status.instance, status);
     failures.set(status.instance, status.metrics['invariant-failures'] ?? 0);
+    // A process that has just started holds no configuration at all.
+    if (status.digest === '') return;
     const digest = digests.get(status.position) ?? status.digest;
     digests.set(status.position, digest);
     if (digest !== status.digest) seen.differences.push(`${status.id} at ${status.position}`);
