--- a/packages/proxy/src/calls/remote-attempts.ts
+++ b/packages/proxy/src/calls/remote-attempts.ts
@@ -3,6 +3,7 @@
 import * as undici from 'undici';
 import type * as context from '../context.js';
 import * as codec from './attempt-codec.js';
+import * as dispatchCall from './dispatch-call.js';
 import * as headers from './headers.js';
 import type * as types from './types.js';
 
@@ -42,31 +43,21 @@
   };
 }
 
-class RemoteCall implements undici.Dispatcher.DispatchHandler, types.Attempt {
+class RemoteCall extends dispatchCall.DispatchCall {
   private readonly attemptId: string;
 
   private readonly handler: types.AttemptHandler;
 
   private readonly onCrossed: () => void;
 
-  private controller: undici.Dispatcher.DispatchController | undefined;
-
-  private isOver = false;
-
-  private isCancelled = false;
-
   public constructor(attemptId: string, handler: types.AttemptHandler, onCrossed: () => void) {
+    super(handler);
     this.attemptId = attemptId;
     this.handler = handler;
     this.onCrossed = onCrossed;
   }
 
-  public onRequestStart(controller: undici.Dispatcher.DispatchController): void {
-    this.controller = controller;
-    if (this.isCancelled) controller.abort(new Error('cancelled'));
-  }
-
-  public onResponseStart(
+  public override onResponseStart(
     controller: undici.Dispatcher.DispatchController,
     status: number,
     received: types.Headers,
@@ -84,33 +75,13 @@
     else this.handler.onHead({ status, headers: received });
   }
 
-  public onResponseData(_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
-    if (!this.isOver) this.handler.onData(chunk);
-  }
-
-  public onResponseEnd(): void {
-    if (this.isOver) return;
-    this.isOver = true;
-    this.handler.onEnd();
-  }
-
-  public onResponseError(_controller: undici.Dispatcher.DispatchController, error: Error): void {
+  public override onResponseError(
+    _controller: undici.Dispatcher.DispatchController,
+    error: Error,
+  ): void {
     this.fail(classify(error));
   }
 
-  public cancel(): void {
-    this.isCancelled = true;
-    this.controller?.abort(new Error('cancelled'));
-  }
-
-  public pause(): void {
-    this.controller?.pause();
-  }
-
-  public resume(): void {
-    this.controller?.resume();
-  }
-
   private fail(result: core.AttemptResult): void {
     if (this.isOver) return;
     this.isOver = true;
--- a/packages/proxy/src/egress/target-connection.ts
+++ b/packages/proxy/src/egress/target-connection.ts
@@ -1,5 +1,6 @@
 /** HTTP from a proxy to the target on its host. */
 import * as undici from 'undici';
+import * as dispatchCall from '../calls/dispatch-call.js';
 import * as headers from '../calls/headers.js';
 import type * as types from '../calls/types.js';
 
@@ -31,28 +32,18 @@
   return timeoutCodes.has(code) ? 'timeout' : 'lost';
 }
 
-class CallHandler implements undici.Dispatcher.DispatchHandler, types.Attempt {
+class CallHandler extends dispatchCall.DispatchCall {
   private readonly attemptId: string;
 
   private readonly handler: TargetHandler;
 
-  private controller: undici.Dispatcher.DispatchController | undefined;
-
-  private isOver = false;
-
-  private isCancelled = false;
-
   public constructor(attemptId: string, handler: TargetHandler) {
+    super(handler);
     this.attemptId = attemptId;
     this.handler = handler;
   }
 
-  public onRequestStart(controller: undici.Dispatcher.DispatchController): void {
-    this.controller = controller;
-    if (this.isCancelled) controller.abort(new Error('cancelled'));
-  }
-
-  public onResponseStart(
+  public override onResponseStart(
     controller: undici.Dispatcher.DispatchController,
     status: number,
     received: types.Headers,
@@ -70,33 +61,13 @@
     this.handler.onHead({ status, headers: received });
   }
 
-  public onResponseData(_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
-    if (!this.isOver) this.handler.onData(chunk);
-  }
-
-  public onResponseEnd(): void {
-    if (this.isOver) return;
-    this.isOver = true;
-    this.handler.onEnd();
-  }
-
-  public onResponseError(_controller: undici.Dispatcher.DispatchController, error: Error): void {
+  public override onResponseError(
+    _controller: undici.Dispatcher.DispatchController,
+    error: Error,
+  ): void {
     this.fail(classify(error));
   }
 
-  public cancel(): void {
-    this.isCancelled = true;
-    this.controller?.abort(new Error('cancelled'));
-  }
-
-  public pause(): void {
-    this.controller?.pause();
-  }
-
-  public resume(): void {
-    this.controller?.resume();
-  }
-
   private fail(failure: TargetFailure): void {
     if (this.isOver) return;
     this.isOver = true;
--- a/packages/stand-ins/src/scenarios/leaving.ts
+++ b/packages/stand-ins/src/scenarios/leaving.ts
@@ -11,36 +11,6 @@
 /** Time within which a leaving target must get no new work. */
 const DRAIN_BOUND_MS = 3 * MS_PER_SECOND;
 
-async function withFleet(
-  context: types.ScenarioContext,
-  options: setup.SetupOptions,
-  action: (fleet: setup.ScenarioFleet) => Promise<types.ScenarioResult>,
-): Promise<types.ScenarioResult> {
-  const fleet = await setup.setUpFleet(context, options);
-  try {
-    return await action(fleet);
-  } finally {
-    await fleet.stop();
-  }
-}
-
-function startLoad(
-  fleet: setup.ScenarioFleet,
-  context: types.ScenarioContext,
-  options: Partial<loadModule.LoadOptions> = {},
-): loadModule.Load {
-  return loadModule.startLoad(
-    {
-      ...setup.loadDefaults,
-      service: fleet.topology.services[0] as string,
-      listHosts: fleet.listRunning,
-      ...options,
-    },
-    context.random,
-    fleet.listTargetLines,
-  );
-}
-
 function countRoutes(fleet: setup.ScenarioFleet, id: string, after: number): number {
   return fleet.hosts
     .flatMap(({ proxy }) => proxy?.lines ?? [])
@@ -52,8 +22,8 @@
 export const drain: types.Scenario = {
   description: 'a draining target gets no new work after a few seconds, and no call fails',
   run: (context) =>
-    withFleet(context, { dataCentres: [0, 1, 2] }, async (fleet) => {
-      const load = startLoad(fleet, context, { callsPerSecond: 120, serviceMs: 20 });
+    setup.withFleet(context, { dataCentres: [0, 1, 2] }, async (fleet) => {
+      const load = setup.startLoad(fleet, context, { callsPerSecond: 120, serviceMs: 20 });
       await timers.setTimeout(2 * MS_PER_SECOND);
       const leaving = fleet.hosts.slice(0, 2);
       leaving.forEach(({ target }) => target?.signal('SIGUSR2'));
@@ -80,11 +50,11 @@
 export const gracefulStop: types.Scenario = {
   description: 'a planned stop of proxies cuts no call and no download, and ends with exit 0',
   run: (context) =>
-    withFleet(context, { dataCentres: [0, 1] }, async (fleet) => {
+    setup.withFleet(context, { dataCentres: [0, 1] }, async (fleet) => {
       const caller = callerModule.createCaller();
       const [first, second] = fleet.hosts as [fleetModule.FleetHost, fleetModule.FleetHost];
       const remaining = fleet.hosts.slice(2);
-      const load = startLoad(fleet, context, {
+      const load = setup.startLoad(fleet, context, {
         callsPerSecond: 120,
         serviceMs: 30,
         listHosts: () => remaining,
@@ -127,8 +97,8 @@
 export const poisonRequest: types.Scenario = {
   description: 'a request that crashes targets kills at most two and is then refused as not run',
   run: (context) =>
-    withFleet(context, { dataCentres: [0, 1], hostsPerDataCentre: 3 }, async (fleet) => {
-      const load = startLoad(fleet, context, { callsPerSecond: 60 });
+    setup.withFleet(context, { dataCentres: [0, 1], hostsPerDataCentre: 3 }, async (fleet) => {
+      const load = setup.startLoad(fleet, context, { callsPerSecond: 60 });
       const caller = callerModule.createCaller();
       await timers.setTimeout(MS_PER_SECOND);
       const service = fleet.topology.services[0];
@@ -168,8 +138,8 @@
 export const targetCrash: types.Scenario = {
   description: 'targets crash and come back under load; lookups are answered by others',
   run: (context) =>
-    withFleet(context, { dataCentres: [0, 1] }, async (fleet) => {
-      const load = startLoad(fleet, context, { callsPerSecond: 150, orderShare: 0.1 });
+    setup.withFleet(context, { dataCentres: [0, 1] }, async (fleet) => {
+      const load = setup.startLoad(fleet, context, { callsPerSecond: 150, orderShare: 0.1 });
       let crashes = 0;
       for (let round = 0; round < 5; round += 1) {
         /* eslint-disable no-await-in-loop -- rounds follow one another */
@@ -194,9 +164,9 @@
 export const cancelledAndLate: types.Scenario = {
   description: 'callers that give up cancel their calls at the targets, and free the slots',
   run: (context) =>
-    withFleet(context, { dataCentres: [0] }, async (fleet) => {
+    setup.withFleet(context, { dataCentres: [0] }, async (fleet) => {
       const caller = callerModule.createCaller();
-      const load = startLoad(fleet, context, { callsPerSecond: 60 });
+      const load = setup.startLoad(fleet, context, { callsPerSecond: 60 });
       const service = fleet.topology.services[0];
       const abandoned = Array.from({ length: 40 }, (_, index) => {
         const host = fleet.hosts[index % fleet.hosts.length] as fleetModule.FleetHost;
--- a/packages/stand-ins/src/scenarios/orders.ts
+++ b/packages/stand-ins/src/scenarios/orders.ts
@@ -10,23 +10,6 @@
 const MS_PER_SECOND = 1_000;
 const ROUND_MS = 3 * MS_PER_SECOND;
 
-function startLoad(
-  fleet: setup.ScenarioFleet,
-  context: types.ScenarioContext,
-  options: Partial<loadModule.LoadOptions> = {},
-): loadModule.Load {
-  return loadModule.startLoad(
-    {
-      ...setup.loadDefaults,
-      service: fleet.topology.services[0] as string,
-      listHosts: fleet.listRunning,
-      ...options,
-    },
-    context.random,
-    fleet.listTargetLines,
-  );
-}
-
 function pickHost(
   fleet: setup.ScenarioFleet,
   context: types.ScenarioContext,
@@ -34,25 +17,12 @@
   return fleet.hosts[Math.floor(context.random() * fleet.hosts.length)] as fleetModule.FleetHost;
 }
 
-async function withFleet(
-  context: types.ScenarioContext,
-  options: setup.SetupOptions,
-  action: (fleet: setup.ScenarioFleet) => Promise<types.ScenarioResult>,
-): Promise<types.ScenarioResult> {
-  const fleet = await setup.setUpFleet(context, options);
-  try {
-    return await action(fleet);
-  } finally {
-    await fleet.stop();
-  }
-}
-
 /** Kills proxies and silences links under calls, and compares each answer with its question. */
 export const ownAnswer: types.Scenario = {
   description: 'every answer belongs to its own call while connections break and go silent',
   run: (context) =>
-    withFleet(context, { dataCentres: [0, 1, 2] }, async (fleet) => {
-      const load = startLoad(fleet, context, { callsPerSecond: 150, orderShare: 0.1 });
+    setup.withFleet(context, { dataCentres: [0, 1, 2] }, async (fleet) => {
+      const load = setup.startLoad(fleet, context, { callsPerSecond: 150, orderShare: 0.1 });
       let faults = 0;
       for (let round = 0; round < 4; round += 1) {
         /* eslint-disable no-await-in-loop -- rounds follow one another */
@@ -75,8 +45,8 @@
 export const atMostOnce: types.Scenario = {
   description: 'no order runs twice through kills, freezes, repeats, log outage and lost answers',
   run: (context) =>
-    withFleet(context, { dataCentres: [0, 2, 4] }, async (fleet) => {
-      const load = startLoad(fleet, context, { callsPerSecond: 80, orderShare: 0.8 });
+    setup.withFleet(context, { dataCentres: [0, 2, 4] }, async (fleet) => {
+      const load = setup.startLoad(fleet, context, { callsPerSecond: 80, orderShare: 0.8 });
       const [first, second] = fleet.topology.dataCentres.map(({ name }) => name) as [
         string,
         string,
@@ -144,9 +114,9 @@
 export const notRunMeansNotRun: types.Scenario = {
   description: 'an order whose caller was told "not run" was run by no target',
   run: (context) =>
-    withFleet(context, { dataCentres: [0, 1], target: { slots: 2 } }, async (fleet) => {
+    setup.withFleet(context, { dataCentres: [0, 1], target: { slots: 2 } }, async (fleet) => {
       // Far more than the slots bear, with deadlines that many calls miss.
-      const load = startLoad(fleet, context, {
+      const load = setup.startLoad(fleet, context, {
         callsPerSecond: 150,
         orderShare: 0.7,
         repeats: 0,
@@ -175,7 +145,7 @@
 export const orderRepeat: types.Scenario = {
   description: 'a repeat of a finished order gets the recorded outcome through any data centre',
   run: (context) =>
-    withFleet(context, { dataCentres: [0, 2, 4] }, async (fleet) => {
+    setup.withFleet(context, { dataCentres: [0, 2, 4] }, async (fleet) => {
       const caller = callerModule.createCaller();
       const path = `/${fleet.topology.services[0]}/orders/1`;
       const send = (host: fleetModule.FleetHost, orderKey: string) =>
@@ -216,7 +186,7 @@
 export const silentConnection: types.Scenario = {
   description: 'open connections go silent for good while new ones work, and calls are answered',
   run: (context) =>
-    withFleet(
+    setup.withFleet(
       context,
       {
         dataCentres: [0, 2],
@@ -226,7 +196,7 @@
       },
       async (fleet) => {
         const callers = () => fleet.hosts.filter(({ dataCentre }) => dataCentre === 'khomas-1');
-        const load = startLoad(fleet, context, {
+        const load = setup.startLoad(fleet, context, {
           callsPerSecond: 80,
           orderShare: 0.2,
           listHosts: callers,
--- a/packages/stand-ins/src/scenarios/setup.ts
+++ b/packages/stand-ins/src/scenarios/setup.ts
@@ -7,7 +7,7 @@
 import * as fleetModule from '../harness/fleet.js';
 import * as operator from '../harness/operator.js';
 import * as topologyModule from '../harness/topology.js';
-import type * as loadModule from './load.js';
+import * as loadModule from './load.js';
 import type * as types from './types.js';
 
 const TARGETS_TIMEOUT_MS = 10_000;
@@ -214,3 +214,40 @@
     await timers.setTimeout(20);
   }
 }
+
+/** Runs an action with a fleet, and stops the fleet whatever happens. */
+export async function withFleet(
+  context: types.ScenarioContext,
+  options: SetupOptions,
+  action: (fleet: ScenarioFleet) => Promise<types.ScenarioResult>,
+): Promise<types.ScenarioResult> {
+  const fleet = await setUpFleet(context, options);
+  try {
+    return await action(fleet);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+/**
+ * Starts a flow of calls to the first service through all running proxies.
+ *
+ * @example
+ * const load = startLoad(fleet, context, { callsPerSecond: 120 });
+ */
+export function startLoad(
+  fleet: ScenarioFleet,
+  context: types.ScenarioContext,
+  options: Partial<loadModule.LoadOptions> = {},
+): loadModule.Load {
+  return loadModule.startLoad(
+    {
+      ...loadDefaults,
+      service: fleet.topology.services[0] as string,
+      listHosts: fleet.listRunning,
+      ...options,
+    },
+    context.random,
+    fleet.listTargetLines,
+  );
+}
