Let one piece of code serve where logic stood twice

The digest of a member table (gossip and delegates), the test for a failure to connect (log, peers, targets), a process's own share and the state of urgent questions each stand once; a flag that nothing read is gone. Behaviour is meant to be the same.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -67,6 +67,7 @@
 } from './limits/pool.js';
 export { createTokenBucket, type TokenBucket } from './limits/token-bucket.js';
 export { createWallet, walletDefaults, type Wallet, type WalletOptions } from './limits/wallet.js';
+export { computeMembersDigest, formatRecord } from './membership/digest.js';
 export { membershipDefaults } from './membership/defaults.js';
 export {
   createMembership,
--- a/packages/proxy/src/calls/remote-attempts.ts
+++ b/packages/proxy/src/calls/remote-attempts.ts
@@ -1,5 +1,6 @@
 /** Sends attempts to the proxies beside other targets, over connections that can be replaced. */
 import * as core from '@figshed/core';
+import * as runtime from '@figshed/runtime';
 import * as undici from 'undici';
 import type * as context from '../context.js';
 import * as codec from './attempt-codec.js';
@@ -25,11 +26,10 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Time beyond the deadline after which a hop is given up even if the deadline is not kept. */
 const DEADLINE_MARGIN_MS = 50;
-const connectCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
 
 function classify(error: Error): core.AttemptResult {
-  const code = (error as NodeJS.ErrnoException).code ?? error.name;
-  if (connectCodes.has(code)) return { outcome: 'not-run', reason: 'proxy-not-connected' };
+  if (runtime.isConnectFailure(error)) return { outcome: 'not-run', reason: 'proxy-not-connected' };
+  const code = runtime.readErrorCode(error);
   const isTimeout = code === 'UND_ERR_HEADERS_TIMEOUT' || code === 'UND_ERR_BODY_TIMEOUT';
   return { outcome: 'unknown', reason: isTimeout ? 'timeout' : 'connection-lost' };
 }
--- a/packages/proxy/src/egress/egress.ts
+++ b/packages/proxy/src/egress/egress.ts
@@ -45,7 +45,6 @@
   handler: types.AttemptHandler;
   startedAt: number;
   call: types.Attempt | undefined;
-  isHeadSent: boolean;
   kept: Buffer[];
   keptBytes: number;
   head: types.AnswerHead | undefined;
@@ -163,7 +162,6 @@
     item.call = connection.send(request, Math.max(1, request.deadlineAt - now), {
       onHead(head) {
         item.head = head;
-        item.isHeadSent = true;
         handler.onLoad(load());
         handler.onHead(head);
       },
@@ -208,7 +206,6 @@
         handler,
         startedAt: now,
         call: undefined,
-        isHeadSent: false,
         kept: [],
         keptBytes: 0,
         head: undefined,
--- a/packages/proxy/src/egress/target-connection.ts
+++ b/packages/proxy/src/egress/target-connection.ts
@@ -1,4 +1,5 @@
 /** HTTP from a proxy to the target on its host. */
+import * as runtime from '@figshed/runtime';
 import * as undici from 'undici';
 import * as dispatchCall from '../calls/dispatch-call.js';
 import * as headers from '../calls/headers.js';
@@ -23,13 +24,11 @@
 
 const KEEP_ALIVE_MS = 30_000;
 const CONNECT_TIMEOUT_MS = 1_000;
-const connectCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
 const timeoutCodes = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT']);
 
 function classify(error: Error): TargetFailure {
-  const code = (error as NodeJS.ErrnoException).code ?? '';
-  if (connectCodes.has(code)) return 'not-connected';
-  return timeoutCodes.has(code) ? 'timeout' : 'lost';
+  if (runtime.isConnectFailure(error)) return 'not-connected';
+  return timeoutCodes.has(runtime.readErrorCode(error)) ? 'timeout' : 'lost';
 }
 
 class CallHandler extends dispatchCall.DispatchCall {
--- a/packages/proxy/src/tasks/delegate-task.ts
+++ b/packages/proxy/src/tasks/delegate-task.ts
@@ -57,15 +57,6 @@
   listDelegates(): core.Member[];
 }
 
-function formatRecord({ incarnation, status }: core.Member): string {
-  return `${incarnation}:${status}`;
-}
-
-function computeMembersDigest(members: readonly core.Member[]): string {
-  const lines = members.map((member) => `${member.id}=${formatRecord(member)}`).sort();
-  return core.computeDigest(lines.join('|')).slice(0, 16);
-}
-
 /**
  * Creates the delegate task.
  *
@@ -138,9 +129,9 @@
       from: settings.id,
       dataCentre: settings.dataCentre,
       mark: config.readMark(),
-      digest: computeMembersDigest(members),
+      digest: core.computeMembersDigest(members),
       known: isMismatch
-        ? Object.fromEntries(members.map((member) => [member.id, formatRecord(member)]))
+        ? Object.fromEntries(members.map((member) => [member.id, core.formatRecord(member)]))
         : null,
     };
     const address = ctx.locate(peer.info);
@@ -168,8 +159,8 @@
     const { known } = question;
     return {
       mark: config.readMark(),
-      isSame: computeMembersDigest(own) === question.digest,
-      members: known ? own.filter((member) => known[member.id] !== formatRecord(member)) : [],
+      isSame: core.computeMembersDigest(own) === question.digest,
+      members: known ? own.filter((member) => known[member.id] !== core.formatRecord(member)) : [],
       ids: known ? own.map(({ id }) => id) : [],
     };
   };
--- a/packages/proxy/src/tasks/gossip-task.ts
+++ b/packages/proxy/src/tasks/gossip-task.ts
@@ -62,7 +62,7 @@
 const SYNC_TIMEOUT_MS = 2_000;
 const SEED_INTERVAL_MS = 1_000;
 const HALF = 0.5;
-const DIGEST_LENGTH = 16;
+const KEY_LENGTH = 16;
 const LEAVE_ROUNDS = 3;
 const METHOD = 'gossip';
 
@@ -106,7 +106,7 @@
   const socket = dgram.createSocket(listen.address.includes(':') ? 'udp6' : 'udp4');
   const server = new jsonRpc.JSONRPCServer<core.Endpoint>({ errorListener: () => undefined });
   const traffic = { sent: 0, received: 0 };
-  const key = core.computeDigest(`gossip|${settings.fleetKey}`).slice(0, 16);
+  const key = core.computeDigest(`gossip|${settings.fleetKey}`).slice(0, KEY_LENGTH);
   let timer: NodeJS.Timeout | undefined;
   let nextSeedAt = 0;
   let nextSyncAt = 0;
@@ -188,16 +188,7 @@
       .forEach((seed) => perform(membership.contact(seed)));
   };
 
-  const readDigest = (): string =>
-    core
-      .computeDigest(
-        membership
-          .list()
-          .map(({ id, incarnation, status }) => `${id}=${incarnation}:${status}`)
-          .sort()
-          .join('|'),
-      )
-      .slice(0, DIGEST_LENGTH);
+  const readDigest = (): string => core.computeMembersDigest(membership.list());
 
   /** Compares the whole table with one member, which also brings a new process up to date. */
   const syncMembers = async (): Promise<void> => {
--- a/packages/proxy/src/tasks/limit-task.ts
+++ b/packages/proxy/src/tasks/limit-task.ts
@@ -115,21 +115,20 @@
     return granted;
   };
 
+  const readOwnShare = (customer: string, base: number, now: number): number => {
+    const { lending } = getGroup(placementModule.findGroup(customer));
+    return Math.max(0, base - lending.lentShare(undefined, now));
+  };
+
   /** Brings the tokens that this process earns by what it has not lent up to date. */
   const updateOwn = (contract: core.Contract, base: number, now: number): core.TokenBucket => {
-    const { lending } = getGroup(placementModule.findGroup(contract.name));
-    const share = Math.max(0, base - lending.lentShare(undefined, now));
+    const share = readOwnShare(contract.name, base, now);
     const bucket = ownBuckets.get(contract.name) ?? core.createTokenBucket(0, 0, now);
     ownBuckets.set(contract.name, bucket);
     bucket.setTerms(contract.ratePerSecond * share, contract.burst * share, now);
     return bucket;
   };
 
-  const readOwnShare = (customer: string, now: number): number => {
-    const { lending } = getGroup(placementModule.findGroup(customer));
-    return Math.max(0, readBase(now) - lending.lentShare(undefined, now));
-  };
-
   /** Contracts that were not in force before start with their burst, wherever shares are held. */
   const openNew = (next: core.CompiledConfig): void => {
     const before = lastConfig;
@@ -139,7 +138,7 @@
     next.contracts.forEach((contract, customer) => {
       if (before.contracts.has(customer)) return;
       keeper.open(contract, now);
-      const share = readOwnShare(customer, now);
+      const share = readOwnShare(customer, readBase(now), now);
       const [rate, burst] = [contract.ratePerSecond * share, contract.burst * share];
       ownBuckets.set(customer, core.createTokenBucket(rate, burst, now, burst));
     });
@@ -162,10 +161,15 @@
     return wallet.spend(contract.name, now) || spendOwn(contract, now);
   };
 
-  /** Asks for as many tokens as calls wait; one question per customer at a time. */
-  const askUrgently = (customer: string): Promise<void> => {
+  const getUrgent = (customer: string): UrgentState => {
     const state = urgent.get(customer) ?? { waiting: 0, emptyAt: -Infinity, asking: undefined };
     urgent.set(customer, state);
+    return state;
+  };
+
+  /** Asks for as many tokens as calls wait; one question per customer at a time. */
+  const askUrgently = (customer: string): Promise<void> => {
+    const state = getUrgent(customer);
     if (state.asking) return state.asking;
     const group = placementModule.findGroup(customer);
     state.asking = fetchTokens(group, { [customer]: Math.max(1, state.waiting) })
@@ -188,9 +192,7 @@
   };
 
   const countWaiting = (customer: string, change: number): void => {
-    const state = urgent.get(customer);
-    if (state) state.waiting += change;
-    else urgent.set(customer, { waiting: change, emptyAt: -Infinity, asking: undefined });
+    getUrgent(customer).waiting += change;
   };
 
   const admitLater = async (contract: core.Contract): Promise<Admittance> => {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,5 +1,6 @@
 /** Settings, logs, metrics, clients and clocks that surround the core. */
 export { createRandom, systemClock } from './clock.js';
+export { isConnectFailure, readErrorCode } from './connect-failure.js';
 export {
   checkValue,
   computePlace,
--- a/packages/runtime/src/log-client.ts
+++ b/packages/runtime/src/log-client.ts
@@ -1,6 +1,7 @@
 /** Client of the platform's append-only log, over HTTP as docs/platform-log.md describes it. */
 import * as undici from 'undici';
 import * as zod from 'zod';
+import * as connectFailure from './connect-failure.js';
 import * as errors from './errors.js';
 
 const { z } = zod;
@@ -43,11 +44,6 @@
 const MAX_CONNECTIONS = 16;
 const HTTP_OK = 200;
 const HTTP_CREATED = 201;
-const CONNECT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
-
-function readCode(error: unknown): string {
-  return (error as { code?: string }).code ?? (error as Error).name;
-}
 
 /**
  * Creates a client of the log.
@@ -83,8 +79,9 @@
         return appendAnswerSchema.parse(await answer.body.json()).offset;
       } catch (error) {
         if (error instanceof errors.LogUnavailableError) throw error;
-        const code = readCode(error);
-        if (CONNECT_CODES.has(code)) throw new errors.LogUnavailableError(`log: ${code}`);
+        const code = connectFailure.readErrorCode(error);
+        if (connectFailure.isConnectFailure(error))
+          throw new errors.LogUnavailableError(`log: ${code}`);
         throw new errors.LogResultUnknownError(`answer of the append was lost: ${code}`);
       }
     },
@@ -106,7 +103,7 @@
         return readAnswerSchema.parse(await answer.body.json());
       } catch (error) {
         if (error instanceof errors.LogUnavailableError) throw error;
-        throw new errors.LogUnavailableError(`log: ${readCode(error)}`);
+        throw new errors.LogUnavailableError(`log: ${connectFailure.readErrorCode(error)}`);
       }
     },
     close: () => pool.destroy(),
