Admit calls by objective and kind, place them near, try newcomers first

Cause: under overload everything was answered late. The queue took whatever could end before its deadline, with one mean time for calls of unequal kinds, and ran what could no longer end in time. Newcomers looked slow for ever because the end of their cold start was never told.

--- a/packages/core/src/mesh/call-machine.ts
+++ b/packages/core/src/mesh/call-machine.ts
@@ -18,12 +18,13 @@
   | { type: 'answered'; isFailure: boolean }
   /** The answer is passed on while it arrives and cannot be replaced any more. */
   | { type: 'streaming' }
-  | { type: 'timeout' }
+  /** Its time is over; `isUnsent` when the open attempt is known not to have run. */
+  | { type: 'timeout'; isUnsent: boolean }
   | { type: 'caller-left' };
 
 /** What the proxy is to do. */
 export type CallEffect =
-  | { type: 'send' }
+  | { type: 'send'; mayBeLate: boolean }
   /** Abandons the attempt that is under way. */
   | { type: 'cancel' }
   /** Passes on the answer that is at hand. */
@@ -36,7 +37,7 @@
 export interface CallPolicy {
   isRepeatable: boolean;
   maxAttempts: number;
-  /** Refusals after which the caller is turned away. */
+  /** Refusals for lack of room after which the call may also be answered late. */
   maxRefusals: number;
   /** Takes one repeat from the budget of the service, or returns false when it is spent. */
   takeRetry: () => boolean;
@@ -74,7 +75,7 @@
  *
  * @example
  * const machine = createCallMachine({ isRepeatable: true, maxAttempts: 2, maxRefusals: 3, takeRetry });
- * machine.handle({ type: 'start' }); // [{ type: 'send' }]
+ * machine.handle({ type: 'start' }); // [{ type: 'send', mayBeLate: false }]
  */
 export function createCallMachine(policy: CallPolicy): CallMachine {
   let isOver = false;
@@ -85,10 +86,12 @@
   let refusals = 0;
   let misses = 0;
   let retryAfterMs = 0;
+  /** True once no target was found at which the objective can be met. */
+  let isLate = false;
 
   const send = (): CallEffect[] => {
     isOpen = true;
-    return [{ type: 'send' }];
+    return [{ type: 'send', mayBeLate: isLate }];
   };
 
   const finish = (effect: CallEffect): CallEffect[] => {
@@ -103,6 +106,11 @@
         : { type: 'answer', status: HTTP_UNAVAILABLE, outcome: 'not-run', retryAfterMs },
     );
 
+  const sendLate = (): CallEffect[] => {
+    isLate = true;
+    return send();
+  };
+
   const noteRefusal = (event: { reason: types.RefusalReason; retryAfterMs: number }): void => {
     if (missReasons.has(event.reason)) misses += 1;
     else refusals += 1;
@@ -114,14 +122,14 @@
 
   const handlers: Handlers = {
     start: send,
-    'no-target': turnAway,
+    'no-target': () => (refusals > 0 && !isLate ? sendLate() : turnAway()),
     refused(event) {
       isOpen = false;
       noteRefusal(event);
       // A refusal by the target itself has drawn on the budget of arrivals.
       if (event.reason === 'target-refused' && !policy.takeRetry()) return turnAway();
-      if (refusals >= policy.maxRefusals || misses >= MAX_MISSES) return turnAway();
-      return send();
+      if (isLate || misses >= MAX_MISSES) return turnAway();
+      return refusals >= policy.maxRefusals ? sendLate() : send();
     },
     broken() {
       isOpen = false;
@@ -137,9 +145,9 @@
       isStreaming = true;
       return [];
     },
-    timeout() {
+    timeout({ isUnsent }) {
       if (isStreaming) return [];
-      const mayHaveRun = ran > 0 || isOpen;
+      const mayHaveRun = ran > 0 || (isOpen && !isUnsent);
       const cancel: CallEffect[] = isOpen ? [{ type: 'cancel' }] : [];
       const status = mayHaveRun ? HTTP_GATEWAY_TIMEOUT : HTTP_UNAVAILABLE;
       const outcome = mayHaveRun ? 'unknown' : 'not-run';
--- a/packages/core/src/mesh/placement.ts
+++ b/packages/core/src/mesh/placement.ts
@@ -24,8 +24,11 @@
 
 /** Settings of the choice. */
 export interface PlacementOptions {
-  /** Round-trip time assumed for each reach, in milliseconds. */
-  roundTripMs: Record<Reach, number>;
+  /**
+   * What each reach costs a call, in milliseconds: its round trip, and for links between data
+   * centres and regions the delay that their bytes are worth.
+   */
+  reachCostMs: Record<Reach, number>;
   /** Time in which knowledge of a target loses half of its weight, in milliseconds. */
   loadHalfLifeMs: number;
   /** Time of a call that is assumed before any was measured, in milliseconds. */
@@ -34,16 +37,19 @@
   coldFactor: number;
   /** Time that a failure costs the caller, in milliseconds. */
   failureCostMs: number;
+  /** Share of choices in which a target that nothing is known of is tried first. */
+  explorationShare: number;
   /** Estimates vary at random by this share, so that processes do not all choose the same. */
   noise: number;
 }
 
 export const placementDefaults: PlacementOptions = {
-  roundTripMs: { 'own-host': 0, 'data-centre': 2, region: 4, remote: 26 },
+  reachCostMs: { 'own-host': 0, 'data-centre': 2, region: 20, remote: 110 },
   loadHalfLifeMs: 1_500,
   initialServiceMs: 100,
   coldFactor: 2,
   failureCostMs: 1_500,
+  explorationShare: 0.3,
   noise: 0.2,
 };
 
@@ -75,7 +81,7 @@
   const crowdMs = (Math.min(1, open / slots) ** 2 * serviceMs) / 2;
   const coldMs = candidate.isCold ? serviceMs * (options.coldFactor - 1) : 0;
   const failureMs = known.failureShare * weight * options.failureCostMs;
-  return options.roundTripMs[candidate.reach] + serviceMs + waitMs + crowdMs + coldMs + failureMs;
+  return options.reachCostMs[candidate.reach] + serviceMs + waitMs + crowdMs + coldMs + failureMs;
 }
 
 /**
@@ -98,6 +104,12 @@
     samples.length > 0
       ? samples.reduce((sum, value) => sum + value, 0) / samples.length
       : options.initialServiceMs;
+  const unknown = open.filter(({ load, openCalls }) => !load && openCalls === 0);
+  const explored = unknown[Math.floor(random() * unknown.length)];
+  if (explored && unknown.length < open.length && random() < options.explorationShare) {
+    const expectedMs = computeExpectedMs(explored, meanServiceMs, options);
+    return { hostId: explored.hostId, expectedMs, candidates: open.length };
+  }
   return open.reduce<Placement | undefined>((best, candidate) => {
     const estimate = computeExpectedMs(candidate, meanServiceMs, options);
     const expectedMs = estimate * (1 + options.noise * random());
--- a/packages/core/src/mesh/slot-queue.ts
+++ b/packages/core/src/mesh/slot-queue.ts
@@ -1,16 +1,22 @@
 /**
  * Admission beside one target: as many calls at once as the target has slots, and a queue bounded
  * by the time that its calls still have. Load pattern: more calls than slots for seconds, calls of
- * several ranks, some of them made by calls that already run elsewhere. The urgent go first, and
- * those that can still meet their objective go before those that cannot; whatever cannot end
- * before its deadline is refused as soon as that is known.
+ * several ranks and lengths, some made by calls that already run elsewhere, and targets that take
+ * twice as long after a start. A call is taken when it is expected to meet its objective here; else
+ * it is refused at once, so that it can be tried elsewhere. One that found no such place may come
+ * back as a late call: it waits behind all others, and only while its deadline can be met.
  */
+import * as estimates from './service-estimates.js';
 
 /** A call that asks for a slot. */
 export interface SlotRequest {
   id: string;
+  /** Calls of one kind take about the same time; the name of the route. */
+  kind: string;
   /** 0 is the most urgent; calls made by running calls have a negative rank. */
   rank: number;
+  /** True when the call may be answered after its objective. */
+  mayBeLate: boolean;
   /** Monotonic time until which an answer has its full value, in milliseconds. */
   objectiveAt: number;
   /** Monotonic time after which an answer is useless, in milliseconds. */
@@ -23,20 +29,13 @@
 
 /** Settings of a slot queue. */
 export interface SlotQueueOptions {
-  /** Mean time of a call that is assumed before any was measured, in milliseconds. */
-  initialServiceMs: number;
-  /** Weight of the newest sample in the moving means. */
-  gain: number;
-  /** Share of the mean time that must be left at least for a call to be worth starting. */
-  minServiceShare: number;
+  estimates: estimates.EstimateOptions;
   /** Waiting calls per slot at most, a bound on memory. */
   maxWaitingPerSlot: number;
 }
 
 export const slotQueueDefaults: SlotQueueOptions = {
-  initialServiceMs: 100,
-  gain: 0.1,
-  minServiceShare: 0.5,
+  estimates: estimates.estimateDefaults,
   maxWaitingPerSlot: 8,
 };
 
@@ -67,15 +66,19 @@
  */
 export function createSlotQueue(initialSlots: number, options: SlotQueueOptions): SlotQueue {
   let slots = initialSlots;
-  let serviceMs = options.initialServiceMs;
-  const running = new Set<string>();
+  const times = estimates.createServiceEstimates(options.estimates);
+  /** Kinds of the calls that run, by id. */
+  const running = new Map<string, string>();
   let waiting: Waiting[] = [];
 
+  const expectMs = ({ kind, objectiveAt }: SlotRequest, now: number): number =>
+    times.expectMs(kind, Math.max(0, objectiveAt - now));
+
   const isTooLate = (request: SlotRequest, now: number): boolean =>
-    now + serviceMs * options.minServiceShare > request.deadlineAt;
+    now + expectMs(request, now) > request.deadlineAt;
 
   const missesObjective = (request: SlotRequest, now: number): boolean =>
-    now + serviceMs * options.minServiceShare > request.objectiveAt;
+    now + expectMs(request, now) > request.objectiveAt;
 
   const compare = (left: Waiting, right: Waiting, now: number): number =>
     Number(missesObjective(left, now)) - Number(missesObjective(right, now)) ||
@@ -86,7 +89,7 @@
     type: 'refuse',
     id,
     reason,
-    retryAfterMs: (waiting.length + 1) * (serviceMs / Math.max(1, slots)),
+    retryAfterMs: (waiting.length + 1) * (times.meanMs() / Math.max(1, slots)),
   });
 
   const removeLate = (now: number): SlotEffect[] => {
@@ -101,7 +104,7 @@
     while (running.size < slots && waiting.length > 0) {
       const next = waiting.reduce((best, other) => (compare(other, best, now) < 0 ? other : best));
       waiting = waiting.filter((request) => request !== next);
-      running.add(next.id);
+      running.set(next.id, next.kind);
       effects.push({ type: 'run', id: next.id, waitedMs: now - next.since });
     }
     return effects;
@@ -109,13 +112,15 @@
 
   return {
     offer(request, now) {
-      const ahead = waiting.filter(
-        (other) => compare(other, { ...request, since: now }, now) <= 0,
-      ).length;
+      const entry = { ...request, since: now };
+      const ahead = waiting.filter((other) => compare(other, entry, now) <= 0).length;
       const rounds = running.size < slots ? 0 : (ahead + 1) / Math.max(1, slots);
-      const startsAt = now + rounds * serviceMs;
+      const startsAt = now + rounds * times.meanMs();
       if (isTooLate(request, startsAt)) return [refuse(request.id, 'too-late')];
-      waiting.push({ ...request, since: now });
+      if (!request.mayBeLate && rounds > 0 && missesObjective(request, startsAt)) {
+        return [refuse(request.id, 'full')];
+      }
+      waiting.push(entry);
       const effects = startNext(now);
       if (waiting.length > slots * options.maxWaitingPerSlot) {
         const last = waiting.reduce((worst, other) =>
@@ -127,8 +132,10 @@
       return effects;
     },
     release(id, sampleMs, now) {
-      if (!running.delete(id)) return [];
-      if (sampleMs !== undefined) serviceMs += (sampleMs - serviceMs) * options.gain;
+      const kind = running.get(id);
+      if (kind === undefined) return [];
+      running.delete(id);
+      if (sampleMs !== undefined) times.note(kind, sampleMs);
       return startNext(now);
     },
     cancel(id) {
@@ -146,6 +153,6 @@
       return ids;
     },
     tick: removeLate,
-    load: () => ({ running: running.size, waiting: waiting.length, slots, serviceMs }),
+    load: () => ({ running: running.size, waiting: waiting.length, slots, serviceMs: times.meanMs() }),
   };
 }
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -101,6 +101,7 @@
     const budget = findBudget(service);
     budget.noteCall();
     const tried = new Set<string>();
+    const fullHosts = new Set<string>();
     const limitAt = Math.min(call.deadlineAt, call.receivedAt + route.timeoutMs);
     const machine = mesh.createCallMachine({
       isRepeatable: route.isRepeatable,
@@ -109,6 +110,8 @@
       takeRetry: () => budget.takeRetry(),
     });
     let attempt: types.OpenAttempt | undefined;
+    /** Takes the open attempt off the count of its host; does nothing the second time. */
+    let closeAttempt = (): void => undefined;
     let attemptNumber = 0;
     let hostId = '';
     let answer: { status: number; headers: string[]; body: Buffer } | undefined;
@@ -136,6 +139,7 @@
       headers: string[],
       message: http.IncomingMessage,
       number: number,
+      close: () => void,
     ): void => {
       const chunks: Buffer[] = [];
       let size = 0;
@@ -161,7 +165,7 @@
         if (size > constants.MAX_HELD_ANSWER_BYTES) stream();
       });
       message.once('close', () => {
-        targets.noteClosed(hostId);
+        close();
         if (isStreaming) {
           // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
           handle({ type: 'answered', isFailure: false });
@@ -184,7 +188,11 @@
       });
     };
 
-    const createHandler = (host: string, number: number): peerClient.PeerAttemptHandler => {
+    const createHandler = (
+      host: string,
+      number: number,
+      close: () => void,
+    ): peerClient.PeerAttemptHandler => {
       const isCurrent = (): boolean => number === attemptNumber && !machine.isOver();
       return {
         takeBody: () => Promise.resolve(isCurrent() ? call.body : undefined),
@@ -194,15 +202,16 @@
         },
         onHead(status, headers, message) {
           if (!isCurrent()) {
-            targets.noteClosed(host);
+            close();
             message.destroy();
             return;
           }
-          receive(status, headers, message, number);
+          receive(status, headers, message, number, close);
         },
         onRefused(reason, retryAfterMs) {
-          targets.noteClosed(host);
+          close();
           if (reason === 'unreachable') targets.noteSilent(host);
+          if (reason === 'full') fullHosts.add(host);
           if (!isCurrent()) return;
           attempt = undefined;
           calls.noteAttempt(call, { hostId: host, result: 'refused', cause: reason });
@@ -210,7 +219,7 @@
           handle({ type: 'refused', reason, retryAfterMs });
         },
         onBroken(cause) {
-          targets.noteClosed(host);
+          close();
           if (!isCurrent()) return;
           attempt = undefined;
           calls.noteAttempt(call, { hostId: host, result: 'broken', cause });
@@ -220,7 +229,9 @@
       };
     };
 
-    const send = (): void => {
+    const send = (mayBeLate: boolean): void => {
+      // Hosts that had no room in time are asked once more, for room before the deadline.
+      if (mayBeLate) fullHosts.forEach((host) => tried.delete(host));
       const placement = targets.choose(service, tried);
       const endpoint = placement && targets.endpoint(placement.hostId);
       if (!placement || !endpoint) {
@@ -233,14 +244,23 @@
       attemptNumber += 1;
       const number = attemptNumber;
       targets.noteOpened(hostId);
-      const handler = createHandler(hostId, number);
+      const host = hostId;
+      let isClosed = false;
+      const close = (): void => {
+        if (!isClosed) targets.noteClosed(host);
+        isClosed = true;
+      };
+      closeAttempt = close;
+      const handler = createHandler(host, number, close);
       const request: types.Attempt = {
         callId: call.callId,
         service,
+        route: route.name,
         method: call.method,
         path: call.path,
         headers: call.headers,
         isRepeatable: route.isRepeatable,
+        mayBeLate,
         rank: call.isNested ? NESTED_RANK : route.rank,
         objectiveAt: Math.min(limitAt, call.receivedAt + route.objectiveMs),
         deadlineAt: limitAt,
@@ -253,10 +273,11 @@
     };
 
     const perform = (effect: mesh.CallEffect): void => {
-      if (effect.type === 'send') send();
+      if (effect.type === 'send') send(effect.mayBeLate);
       else if (effect.type === 'cancel') {
         attempt?.cancel();
-        targets.noteClosed(hostId);
+        attempt = undefined;
+        closeAttempt();
       } else if (effect.type === 'deliver') {
         finish('delivered', answer?.status ?? 0);
         if (answer) reply.deliver(answer);
@@ -269,7 +290,7 @@
     const handle = (event: mesh.CallEvent): void => machine.handle(event).forEach(perform);
 
     timer = setTimeout(
-      () => handle({ type: 'timeout' }),
+      () => handle({ type: 'timeout', isUnsent: attempt?.cancel() ?? false }),
       Math.max(0, limitAt - ANSWER_MARGIN_MS - clock.monotonic()),
     );
     handle({ type: 'start' });
--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -69,7 +69,10 @@
     connections.set(socket, connection);
     socket.once('close', () => {
       connections.delete(socket);
-      [...connection.open].forEach((leave) => leave());
+      openCalls -= connection.open.size;
+      const leaving = [...connection.open];
+      connection.open.clear();
+      leaving.forEach((leave) => leave());
     });
     return connection;
   };
@@ -173,7 +176,6 @@
     };
     response.once('finish', forget);
     response.once('close', forget);
-    socket.once('close', forget);
 
     const callId = request.headers[protocol.callId];
     const route = findRoute(request);
--- a/packages/proxy/src/mesh/headers.ts
+++ b/packages/proxy/src/mesh/headers.ts
@@ -26,7 +26,9 @@
 export interface AttemptFacts {
   callId: string;
   service: string;
+  route: string;
   isRepeatable: boolean;
+  mayBeLate: boolean;
   rank: number;
   objectiveMs: number;
   deadlineMs: number;
@@ -71,7 +73,9 @@
     const isWhole =
       typeof facts.callId === 'string' &&
       typeof facts.service === 'string' &&
+      typeof facts.route === 'string' &&
       typeof facts.isRepeatable === 'boolean' &&
+      typeof facts.mayBeLate === 'boolean' &&
       typeof facts.rank === 'number' &&
       typeof facts.objectiveMs === 'number' &&
       typeof facts.deadlineMs === 'number';
--- a/packages/proxy/src/mesh/peer-client.ts
+++ b/packages/proxy/src/mesh/peer-client.ts
@@ -59,7 +59,9 @@
         ...headersModule.formatAttempt({
           callId: attempt.callId,
           service: attempt.service,
+          route: attempt.route,
           isRepeatable: attempt.isRepeatable,
+          mayBeLate: attempt.mayBeLate,
           rank: attempt.rank,
           objectiveMs: Math.round(attempt.objectiveAt - now),
           deadlineMs: Math.round(attempt.deadlineAt - now),
@@ -161,6 +163,7 @@
         isOver = true;
         clearTimeout(silence);
         request.destroy();
+        return !isBodySent;
       },
     };
   };
--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -130,10 +130,12 @@
       {
         callId: facts.callId,
         service: facts.service,
+        route: facts.route,
         method: request.method ?? 'GET',
         path: request.url ?? '/',
         headers: headersModule.copyHeaders(request.rawHeaders, new Set()),
         isRepeatable: facts.isRepeatable,
+        mayBeLate: facts.mayBeLate,
         rank: facts.rank,
         objectiveAt: now + facts.objectiveMs,
         deadlineAt: now + facts.deadlineMs,
--- a/packages/proxy/src/mesh/target-port.ts
+++ b/packages/proxy/src/mesh/target-port.ts
@@ -64,8 +64,11 @@
   const open = new Map<string, Open>();
   let failureShare = 0;
   let nextKey = 0;
+  let isAnnouncedCold = false;
   let timer: NodeJS.Timeout | undefined;
 
+  const isCold = (): boolean => (gate.current()?.coldUntil ?? 0) > clock.monotonic();
+
   const noteOutcome = (failed: boolean): void => {
     failureShare += ((failed ? 1 : 0) - failureShare) * FAILURE_GAIN;
   };
@@ -243,19 +246,21 @@
       });
   };
 
-  const cancel = (key: string): void => {
+  const cancel = (key: string): boolean => {
     const entry = open.get(key);
-    if (!entry || entry.isCancelled) return;
+    if (!entry || entry.isCancelled) return false;
     entry.isCancelled = true;
     if (queue.cancel(key)) {
       open.delete(key);
-      return;
+      return true;
     }
+    if (!entry.request) return true;
     // What must not run twice is left to end: its caller may have gone, but its work counts.
-    if (!entry.request || !entry.attempt.isRepeatable) return;
+    if (!entry.attempt.isRepeatable) return false;
     open.delete(key);
     entry.request.destroy();
     release(key);
+    return false;
   };
 
   const noteVerdict = (verdict: mesh.GateVerdict, id: string, cause: string): mesh.GateVerdict => {
@@ -283,23 +288,27 @@
       if (!target) refuse(key, gate.closedBecause());
       else if (target.service !== attempt.service) refuse(key, 'wrong-instance');
       else {
-        const { rank, objectiveAt, deadlineAt } = attempt;
-        perform(queue.offer({ id: key, rank, objectiveAt, deadlineAt }, now));
+        const { route, rank, mayBeLate, objectiveAt, deadlineAt } = attempt;
+        const request = { id: key, kind: route, rank, mayBeLate, objectiveAt, deadlineAt };
+        perform(queue.offer(request, now));
       }
       return { cancel: () => cancel(key) };
     },
     announce(announcement) {
       const now = clock.monotonic();
+      const wasCold = isAnnouncedCold;
       const verdict = gate.announce(announcement, now);
+      isAnnouncedCold = isCold();
       const target = gate.current();
       if (target) perform(queue.setSlots(target.slots, now));
       if (verdict === 'opened') failureShare = 0;
+      if (verdict === 'kept' && wasCold && !isCold()) onChange();
       return noteVerdict(verdict, announcement.id, announcement.state);
     },
     deregister: (id, bornAt) => noteVerdict(gate.deregister(id, bornAt), id, 'deregistered'),
     load: () => ({ ...queue.load(), failureShare }),
     current: () => gate.current(),
-    isCold: () => (gate.current()?.coldUntil ?? 0) > clock.monotonic(),
+    isCold,
     openAttempts: () => open.size,
     start() {
       timer = setInterval(
--- a/packages/proxy/src/mesh/types.ts
+++ b/packages/proxy/src/mesh/types.ts
@@ -61,6 +61,8 @@
 export interface Attempt {
   callId: string;
   service: string;
+  /** Name of the route; calls of one route take about the same time. */
+  route: string;
   method: string;
   path: string;
   /** Names and values by turns, without those that concern one connection. */
@@ -68,6 +70,8 @@
   isRepeatable: boolean;
   /** 0 is the most urgent; calls made by targets have a negative rank. */
   rank: number;
+  /** True when it may be answered after its objective. */
+  mayBeLate: boolean;
   /** Monotonic times in milliseconds. */
   objectiveAt: number;
   deadlineAt: number;
@@ -84,6 +88,9 @@
 
 /** An attempt under way. */
 export interface OpenAttempt {
-  /** Gives the attempt up: it does not begin any more, and ends where it may be repeated. */
-  cancel(): void;
+  /**
+   * Gives the attempt up: it does not begin any more, and ends where it may be repeated. Returns
+   * true when it is certain that it has not run and never will.
+   */
+  cancel(): boolean;
 }
