Test the mesh by properties, against a stand-in of the store, and by processes

Found by the tests: the time assumed for a kind that was never measured shrank while a call waited, so a call that was too late stayed in the queue; a caller that left did not end the work of its call, since the response's own close event forgot the call before the connection's was heard.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -31,6 +31,7 @@
       'packages/cli/**',
       'packages/proxy/src/settings/**',
       'packages/stand-ins/**',
+      'platform/src/settings.ts',
     ],
     rules: { 'n/no-sync': 'off', 'n/no-process-exit': 'off' },
   },
@@ -42,6 +43,10 @@
       'n/no-unsupported-features/node-builtins': ['error', { ignores: ['test.describe'] }],
     },
   },
+  {
+    files: ['scripts/**'],
+    rules: { 'import-x/no-extraneous-dependencies': ['error', { devDependencies: true }] },
+  },
   {
     files: ['**/main.ts'],
     rules: { 'n/no-process-exit': 'off' },
--- a/packages/core/src/mesh/call-machine.ts
+++ b/packages/core/src/mesh/call-machine.ts
@@ -114,7 +114,8 @@
   const noteRefusal = (event: { reason: types.RefusalReason; retryAfterMs: number }): void => {
     if (missReasons.has(event.reason)) misses += 1;
     else refusals += 1;
-    retryAfterMs = retryAfterMs === 0 ? event.retryAfterMs : Math.min(retryAfterMs, event.retryAfterMs);
+    retryAfterMs =
+      retryAfterMs === 0 ? event.retryAfterMs : Math.min(retryAfterMs, event.retryAfterMs);
   };
 
   const mayRepeat = (): boolean =>
--- a/packages/core/src/mesh/service-estimates.ts
+++ b/packages/core/src/mesh/service-estimates.ts
@@ -15,8 +15,10 @@
 /** Moving means of one target. */
 export interface ServiceEstimates {
   note(kind: string, sampleMs: number): void;
-  /** Expected time of a call of a kind whose objective is `objectiveMs` away. */
-  expectMs(kind: string, objectiveMs: number): number;
+  /** Expected time of a call of a kind, or `priorMs` while none was measured. */
+  expectMs(kind: string, priorMs: number): number;
+  /** Time that a call is assumed to take whose objective is `objectiveMs` away. */
+  assumeMs(objectiveMs: number): number;
   /** Expected time of any call. */
   meanMs(): number;
 }
@@ -49,7 +51,9 @@
       kinds.set(kind, known);
       add(all, sampleMs);
     },
-    expectMs: (kind, objectiveMs) => kinds.get(kind)?.value ?? objectiveMs * options.priorShare,
+    expectMs: (kind, priorMs) => kinds.get(kind)?.value ?? priorMs,
+    assumeMs: (objectiveMs) =>
+      objectiveMs > 0 ? objectiveMs * options.priorShare : options.priorMs,
     meanMs: () => all.value,
   };
 }
--- a/packages/core/src/mesh/slot-queue.ts
+++ b/packages/core/src/mesh/slot-queue.ts
@@ -56,6 +56,8 @@
 
 interface Waiting extends SlotRequest {
   since: number;
+  /** Time that it is assumed to take while none of its kind was measured, in milliseconds. */
+  priorMs: number;
 }
 
 /**
@@ -71,14 +73,11 @@
   const running = new Map<string, string>();
   let waiting: Waiting[] = [];
 
-  const expectMs = ({ kind, objectiveAt }: SlotRequest, now: number): number =>
-    times.expectMs(kind, Math.max(0, objectiveAt - now));
+  const isTooLate = ({ kind, priorMs, deadlineAt }: Waiting, now: number): boolean =>
+    now + times.expectMs(kind, priorMs) > deadlineAt;
 
-  const isTooLate = (request: SlotRequest, now: number): boolean =>
-    now + expectMs(request, now) > request.deadlineAt;
-
-  const missesObjective = (request: SlotRequest, now: number): boolean =>
-    now + expectMs(request, now) > request.objectiveAt;
+  const missesObjective = ({ kind, priorMs, objectiveAt }: Waiting, now: number): boolean =>
+    now + times.expectMs(kind, priorMs) > objectiveAt;
 
   const compare = (left: Waiting, right: Waiting, now: number): number =>
     Number(missesObjective(left, now)) - Number(missesObjective(right, now)) ||
@@ -112,12 +111,13 @@
 
   return {
     offer(request, now) {
-      const entry = { ...request, since: now };
+      const priorMs = times.assumeMs(request.objectiveAt - now);
+      const entry = { ...request, since: now, priorMs };
       const ahead = waiting.filter((other) => compare(other, entry, now) <= 0).length;
       const rounds = running.size < slots ? 0 : (ahead + 1) / Math.max(1, slots);
       const startsAt = now + rounds * times.meanMs();
-      if (isTooLate(request, startsAt)) return [refuse(request.id, 'too-late')];
-      if (!request.mayBeLate && rounds > 0 && missesObjective(request, startsAt)) {
+      if (isTooLate(entry, startsAt)) return [refuse(request.id, 'too-late')];
+      if (!request.mayBeLate && rounds > 0 && missesObjective(entry, startsAt)) {
         return [refuse(request.id, 'full')];
       }
       waiting.push(entry);
@@ -153,6 +153,11 @@
       return ids;
     },
     tick: removeLate,
-    load: () => ({ running: running.size, waiting: waiting.length, slots, serviceMs: times.meanMs() }),
+    load: () => ({
+      running: running.size,
+      waiting: waiting.length,
+      slots,
+      serviceMs: times.meanMs(),
+    }),
   };
 }
--- /dev/null
+++ b/packages/core/test/mesh-slot-queue.test.ts
@@ -0,0 +1,130 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+import * as fc from 'fast-check';
+import * as mesh from '../src/mesh/index.js';
+
+const { describe, it } = test;
+
+const request = (id: string, over: Partial<mesh.SlotRequest> = {}): mesh.SlotRequest => ({
+  id,
+  kind: 'read',
+  rank: 1,
+  mayBeLate: false,
+  objectiveAt: 600,
+  deadlineAt: 1_500,
+  ...over,
+});
+
+const listRuns = (effects: readonly mesh.SlotEffect[]): string[] =>
+  effects.filter(({ type }) => type === 'run').map(({ id }) => id);
+
+const command = fc.oneof(
+  fc.record({
+    type: fc.constant('offer' as const),
+    rank: fc.integer({ min: -1, max: 3 }),
+    mayBeLate: fc.boolean(),
+    leftMs: fc.integer({ min: 1, max: 2_000 }),
+  }),
+  fc.record({ type: fc.constant('release' as const), tookMs: fc.integer({ min: 1, max: 900 }) }),
+  fc.record({ type: fc.constant('cancel' as const) }),
+  fc.record({ type: fc.constant('tick' as const) }),
+  fc.record({ type: fc.constant('slots' as const), slots: fc.integer({ min: 1, max: 6 }) }),
+);
+
+describe('slot queue', () => {
+  it('runs no more calls than slots and settles every call once', () => {
+    fc.assert(
+      fc.property(fc.array(command, { maxLength: 120 }), (commands) => {
+        const queue = mesh.createSlotQueue(3, mesh.slotQueueDefaults);
+        let slots = 3;
+        const running: string[] = [];
+        const waiting = new Set<string>();
+        const settled = new Set<string>();
+        const take = (effects: readonly mesh.SlotEffect[]): void =>
+          effects.forEach((effect) => {
+            assert.ok(waiting.delete(effect.id), 'settled without having been offered');
+            assert.ok(!settled.has(effect.id));
+            settled.add(effect.id);
+            if (effect.type !== 'run') return;
+            assert.ok(running.length < slots, 'more calls than slots');
+            running.push(effect.id);
+          });
+        commands.forEach((item, index) => {
+          const now = index * 10;
+          if (item.type === 'offer') {
+            const id = `c${index}`;
+            waiting.add(id);
+            take(
+              queue.offer(
+                request(id, {
+                  rank: item.rank,
+                  mayBeLate: item.mayBeLate,
+                  objectiveAt: now + item.leftMs / 2,
+                  deadlineAt: now + item.leftMs,
+                }),
+                now,
+              ),
+            );
+          } else if (item.type === 'release') {
+            const id = running.shift();
+            if (id) take(queue.release(id, item.tookMs, now));
+          } else if (item.type === 'cancel') {
+            const id = [...waiting][0];
+            if (id && queue.cancel(id)) waiting.delete(id);
+          } else if (item.type === 'slots') {
+            slots = item.slots;
+            take(queue.setSlots(slots, now));
+          } else take(queue.tick(now));
+          assert.equal(queue.load().running, running.length);
+          assert.equal(queue.load().waiting, waiting.size);
+        });
+      }),
+    );
+  });
+
+  it('starts the urgent first and calls of running calls before them', () => {
+    const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults);
+    queue.offer(request('first'), 0);
+    queue.offer(request('reading', { rank: 2, mayBeLate: true }), 0);
+    queue.offer(request('booking', { rank: 1, mayBeLate: true }), 0);
+    queue.offer(request('nested', { rank: -1, mayBeLate: true }), 0);
+    const order = ['first', 'nested', 'booking'].flatMap((id) =>
+      listRuns(queue.release(id, 50, 10)),
+    );
+    assert.deepEqual(order, ['nested', 'booking', 'reading']);
+  });
+
+  it('refuses at once what would miss its objective here', () => {
+    const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults);
+    queue.offer(request('running'), 0);
+    queue.release('running', 400, 400);
+    queue.offer(request('second', { objectiveAt: 1_000, deadlineAt: 1_900 }), 400);
+    const effects = queue.offer(request('third', { objectiveAt: 1_000, deadlineAt: 1_900 }), 400);
+    assert.equal(effects[0]?.type, 'refuse');
+    assert.equal(effects[0]?.type === 'refuse' && effects[0].reason, 'full');
+  });
+
+  it('keeps a late call behind those that can meet their objective', () => {
+    const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults);
+    queue.offer(request('running'), 0);
+    queue.offer(request('late', { mayBeLate: true, objectiveAt: 1 }), 0);
+    queue.offer(request('timely', { rank: 3 }), 0);
+    assert.deepEqual(listRuns(queue.release('running', 100, 100)), ['timely']);
+  });
+
+  it('refuses a waiting call as soon as its deadline cannot be met', () => {
+    const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults);
+    queue.offer(request('running'), 0);
+    queue.offer(request('waiting', { mayBeLate: true, objectiveAt: 200, deadlineAt: 300 }), 0);
+    assert.deepEqual(queue.tick(100), []);
+    const [effect] = queue.tick(299);
+    assert.equal(effect?.type === 'refuse' && effect.reason, 'too-late');
+  });
+
+  it('knows after a few calls that a target has become slow', () => {
+    const queue = mesh.createSlotQueue(4, mesh.slotQueueDefaults);
+    ['a', 'b', 'c'].forEach((id) => queue.offer(request(id), 0));
+    ['a', 'b', 'c'].forEach((id) => queue.release(id, 560, 560));
+    assert.equal(Math.round(queue.load().serviceMs), 560);
+  });
+});
--- a/packages/proxy/src/gossip-schemas.ts
+++ b/packages/proxy/src/gossip-schemas.ts
@@ -42,8 +42,7 @@
 
 /** A gossip message as it arrives from another process. */
 export const messageSchema = z.discriminatedUnion('type', [
-    z.object({ type: z.literal('ping'), isContact: z.boolean(), ...messageFields }),
-    z.object({ type: z.literal('ack'), ...messageFields }),
-    z.object({ type: z.literal('ping-request'), subject: z.string(), ...messageFields }),
-  ]);
-
+  z.object({ type: z.literal('ping'), isContact: z.boolean(), ...messageFields }),
+  z.object({ type: z.literal('ack'), ...messageFields }),
+  z.object({ type: z.literal('ping-request'), subject: z.string(), ...messageFields }),
+]);
--- a/packages/proxy/src/mesh/call-log.ts
+++ b/packages/proxy/src/mesh/call-log.ts
@@ -17,7 +17,10 @@
 
 /** Log of the calls of one process. */
 export interface CallLog {
-  noteAttempt(call: callRunner.Call, facts: { hostId: string; result: string; cause: string }): void;
+  noteAttempt(
+    call: callRunner.Call,
+    facts: { hostId: string; result: string; cause: string },
+  ): void;
   noteEnd(call: callRunner.Call, end: CallEnd): void;
 }
 
--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -175,7 +175,10 @@
       if (connection.open.delete(noteLeft)) openCalls -= 1;
     };
     response.once('finish', forget);
-    response.once('close', forget);
+    response.once('close', () => {
+      forget();
+      if (!response.writableFinished) leave();
+    });
 
     const callId = request.headers[protocol.callId];
     const route = findRoute(request);
--- a/packages/proxy/src/mesh/guarded-agent.ts
+++ b/packages/proxy/src/mesh/guarded-agent.ts
@@ -30,7 +30,7 @@
 
   public override keepSocketAlive(socket: GuardedSocket): boolean {
     // Node takes the time that the peer gives in Keep-Alive into account.
-    const isKept = super.keepSocketAlive(socket as never) as unknown as boolean;
+    const isKept = super.keepSocketAlive(socket) as unknown as boolean;
     if (!isKept) return false;
     if (socket.readableLength > 0) return false;
     const guard = (): void => {
@@ -48,7 +48,7 @@
       socket.off('end', socket.figshedGuard);
       delete socket.figshedGuard;
     }
-    super.reuseSocket(socket as never, request);
+    super.reuseSocket(socket, request);
   }
 }
 
--- a/packages/proxy/src/mesh/headers.ts
+++ b/packages/proxy/src/mesh/headers.ts
@@ -88,10 +88,7 @@
 /** Formats the load of a target as a header. */
 export function formatLoad(load: mesh.TargetLoad): string[] {
   const { running, waiting, slots, serviceMs, failureShare } = load;
-  return [
-    LOAD,
-    [running, waiting, slots, serviceMs.toFixed(1), failureShare.toFixed(3)].join(';'),
-  ];
+  return [LOAD, [running, waiting, slots, serviceMs.toFixed(1), failureShare.toFixed(3)].join(';')];
 }
 
 /** Reads the load of a target; undefined when the header is missing or unreadable. */
--- a/packages/proxy/src/mesh/peer-client.ts
+++ b/packages/proxy/src/mesh/peer-client.ts
@@ -66,9 +66,7 @@
           objectiveMs: Math.round(attempt.objectiveAt - now),
           deadlineMs: Math.round(attempt.deadlineAt - now),
         }),
-        ...(attempt.isRepeatable
-          ? []
-          : ['Expect', '100-continue', 'Transfer-Encoding', 'chunked']),
+        ...(attempt.isRepeatable ? [] : ['Expect', '100-continue', 'Transfer-Encoding', 'chunked']),
       ],
     });
 
@@ -170,8 +168,8 @@
 
   return {
     run,
-    fetchConfig: (endpoint) =>
-      new Promise((resolve, reject) => {
+    async fetchConfig(endpoint) {
+      const bytes = await new Promise<Buffer>((resolve, reject) => {
         const request = http.get({
           agent,
           host: endpoint.address,
@@ -186,17 +184,16 @@
           message.on('data', (chunk: Buffer) => chunks.push(chunk));
           message.once('error', reject);
           message.once('end', () => {
-            try {
-              if (message.statusCode !== constants.HTTP.ok) {
-                throw new Error(`status ${message.statusCode}`);
-              }
-              resolve(JSON.parse(Buffer.concat(chunks).toString()) as mesh.MeshConfig);
-            } catch (error) {
-              reject(error as Error);
+            if (message.statusCode !== constants.HTTP.ok) {
+              reject(new Error(`status ${message.statusCode}`));
+              return;
             }
+            resolve(Buffer.concat(chunks));
           });
         });
-      }),
+      });
+      return JSON.parse(bytes.toString()) as mesh.MeshConfig;
+    },
     close: () => agent.destroy(),
   };
 }
--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -75,11 +75,7 @@
       body.pipe(response);
     },
     onRefused(reason, retryAfterMs) {
-      end(
-        response,
-        constants.HTTP.unavailable,
-        headersModule.formatRefusal(reason, retryAfterMs),
-      );
+      end(response, constants.HTTP.unavailable, headersModule.formatRefusal(reason, retryAfterMs));
       request.resume();
     },
     onBroken(cause) {
@@ -100,11 +96,7 @@
     }
     if (isStopping()) {
       request.resume();
-      end(
-        response,
-        constants.HTTP.unavailable,
-        headersModule.formatRefusal('stopping', 0),
-      );
+      end(response, constants.HTTP.unavailable, headersModule.formatRefusal('stopping', 0));
       return;
     }
     const now = clock.monotonic();
--- a/packages/proxy/src/mesh/side-servers.ts
+++ b/packages/proxy/src/mesh/side-servers.ts
@@ -53,9 +53,10 @@
 }
 
 type Handlers = {
-  [K in types.TargetMessage['type']]: (
-    message: Extract<types.TargetMessage, { type: K }>,
-  ) => { status: number; verdict: mesh.GateVerdict | K };
+  [K in types.TargetMessage['type']]: (message: Extract<types.TargetMessage, { type: K }>) => {
+    status: number;
+    verdict: mesh.GateVerdict | K;
+  };
 };
 
 /**
--- a/packages/proxy/src/mesh/target-port.ts
+++ b/packages/proxy/src/mesh/target-port.ts
@@ -56,11 +56,7 @@
   const gate = mesh.createTargetGate();
   const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults);
   const agent = guardedAgent.createAgent(TARGET_IDLE_MS);
-  const dropped = new Set([
-    protocol.deadlineMs,
-    protocol.expectInstance,
-    protocol.notRun,
-  ]);
+  const dropped = new Set([protocol.deadlineMs, protocol.expectInstance, protocol.notRun]);
   const open = new Map<string, Open>();
   let failureShare = 0;
   let nextKey = 0;
@@ -311,10 +307,7 @@
     isCold,
     openAttempts: () => open.size,
     start() {
-      timer = setInterval(
-        () => perform(queue.tick(clock.monotonic())),
-        constants.QUEUE_TICK_MS,
-      );
+      timer = setInterval(() => perform(queue.tick(clock.monotonic())), constants.QUEUE_TICK_MS);
     },
     stop() {
       clearInterval(timer);
--- a/packages/proxy/src/mesh/targets.ts
+++ b/packages/proxy/src/mesh/targets.ts
@@ -63,8 +63,7 @@
     setMember(member) {
       const known = entries.get(member.id);
       const isSameProcess = known?.member.info.instance === member.info.instance;
-      const isSameTarget =
-        isSameProcess && known.member.info.target?.id === member.info.target?.id;
+      const isSameTarget = isSameProcess && known.member.info.target?.id === member.info.target?.id;
       entries.set(member.id, {
         member,
         openCalls: known?.openCalls ?? 0,
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,13 @@
+/** Stand-ins that tests of other packages use. */
+export { sendCall, type CallOptions, type CallResult } from './mesh/mesh-caller.js';
+export {
+  startMeshFleet,
+  type FleetPlan,
+  type HostPlan,
+  type MeshFleet,
+  type MeshHost,
+} from './mesh/mesh-fleet.js';
+export { startMeshTarget, type MeshTarget, type Run } from './mesh/mesh-target.js';
+export { createMeshConfig } from './mesh/mesh-config.js';
+export { formatKeyedRecord, writeConfig } from './store/keyed-record.js';
+export { startStoreServer, type StoreFaults, type StoreServer } from './store/store-server.js';
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -5,7 +5,7 @@
 const root = new URL('..', import.meta.url).pathname;
 const locate = (name) => path.join(root, name);
 
-const result = await esbuild.build({
+await esbuild.build({
   entryPoints: [locate('platform/src/main.ts')],
   outfile: locate('target/figshed-mesh.cjs'),
   bundle: true,
@@ -17,7 +17,6 @@
   minifySyntax: true,
   minifyWhitespace: true,
   logLevel: 'warning',
-  metafile: true,
   alias: {
     '@figshed/core/mesh': locate('packages/core/src/mesh/index.ts'),
     '@figshed/core': locate('packages/core/src/index.ts'),
@@ -25,4 +24,3 @@
     '@figshed/proxy/mesh': locate('packages/proxy/src/mesh/index.ts'),
   },
 });
-if(process.env.META) console.log(await esbuild.analyzeMetafile(result.metafile));
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -5,10 +5,10 @@
 
 const root = new URL('..', import.meta.url).pathname;
 const packages = path.join(root, 'packages');
+const platform = path.join(root, 'platform');
 const filter = process.argv[2] ?? '';
-const files = fs
-  .readdirSync(packages)
-  .map((name) => path.join(packages, name, 'test'))
+const files = [...fs.readdirSync(packages).map((name) => path.join(packages, name)), platform]
+  .map((directory) => path.join(directory, 'test'))
   .filter((directory) => fs.existsSync(directory))
   .flatMap((directory) =>
     fs
