Treat an answer that ends with a reset connection as cut

An error of the connection before the end of the body now counts against it, on both sides of the hop. Ruled out: bodies with a length and chunked ones, which the old test had. The test of crossed and cut answers failed with such answers before the change.

--- /dev/null
+++ b/packages/proxy/src/mesh/answer.ts
@@ -0,0 +1,53 @@
+/** An answer on its way, and whether it has arrived whole. */
+import type * as http from 'node:http';
+
+/** The head of an answer and its body. */
+export interface Answer {
+  status: number;
+  /** Names and values by turns, without those of one connection. */
+  headers: string[];
+  message: http.IncomingMessage;
+  /** True once the body has arrived whole; meaningful from its `end` or `close` event on. */
+  isWhole(): boolean;
+}
+
+/**
+ * Watches whether an answer arrives whole. Node reports a body that ends with its connection as
+ * complete also when the connection was reset, so an error before the end counts against it.
+ *
+ * @example
+ * const isWhole = watchAnswer(request, message);
+ */
+export function watchAnswer(
+  request: http.ClientRequest,
+  message: http.IncomingMessage,
+): () => boolean {
+  let isBroken = false;
+  const noteError = (): void => {
+    // Bytes after a whole answer are an error of the connection, not of the answer.
+    if (!message.complete) isBroken = true;
+  };
+  request.once('error', noteError);
+  message.once('error', noteError);
+  return () => message.complete && !isBroken;
+}
+
+/**
+ * Passes the body of an answer on; a body that does not arrive whole destroys the receiver, so
+ * that it cannot look complete.
+ *
+ * @example
+ * passOn(answer, response, () => log.warn('answer-cut'));
+ */
+export function passOn(answer: Answer, response: http.ServerResponse, onCut: () => void): void {
+  const { message } = answer;
+  message.pipe(response, { end: false });
+  message.once('close', () => {
+    if (answer.isWhole()) {
+      response.end();
+      return;
+    }
+    onCut();
+    response.destroy();
+  });
+}
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -1,7 +1,7 @@
 /** Performs what the call machine decides: sends, waits, answers. */
-import type * as http from 'node:http';
 import * as core from '@figshed/core';
 import * as mesh from '@figshed/core/mesh';
+import type * as answerModule from './answer.js';
 import type * as bodies from './bodies.js';
 import * as callLog from './call-log.js';
 import * as constants from './constants.js';
@@ -32,12 +32,7 @@
 export interface CallReply {
   deliver(answer: { status: number; headers: string[]; body: Buffer }): void;
   /** Passes on an answer that is too large to be held. */
-  stream(answer: {
-    status: number;
-    headers: string[];
-    received: readonly Buffer[];
-    message: http.IncomingMessage;
-  }): void;
+  stream(answer: answerModule.Answer, received: readonly Buffer[]): void;
   refuse(status: number, retryAfterMs: number): void;
   abort(): void;
 }
@@ -134,13 +129,8 @@
     };
 
     /** Gathers an answer until it is whole or too large to be held. */
-    const receive = (
-      status: number,
-      headers: string[],
-      message: http.IncomingMessage,
-      number: number,
-      close: () => void,
-    ): void => {
+    const receive = (received: answerModule.Answer, number: number, close: () => void): void => {
+      const { status, headers, message } = received;
       const chunks: Buffer[] = [];
       let size = 0;
       let isStreaming = false;
@@ -152,7 +142,7 @@
         handle({ type: 'streaming' });
         message.removeAllListeners('data');
         clearTimeout(timer);
-        reply.stream({ status, headers, received: chunks, message });
+        reply.stream(received, chunks);
       };
       message.on('data', (chunk: Buffer) => {
         if (isStreaming) return;
@@ -174,7 +164,7 @@
         held.release(size);
         if (!isCurrent()) return;
         attempt = undefined;
-        if (!message.complete) {
+        if (!received.isWhole()) {
           calls.noteAttempt(call, { hostId, result: 'cut', cause: 'answer-incomplete' });
           // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
           handle({ type: 'broken' });
@@ -200,13 +190,13 @@
           targets.noteLoad(host, load);
           targets.noteAnswered(host);
         },
-        onHead(status, headers, message) {
+        onHead(received) {
           if (!isCurrent()) {
             close();
-            message.destroy();
+            received.message.destroy();
             return;
           }
-          receive(status, headers, message, number, close);
+          receive(received, number, close);
         },
         onRefused(reason, retryAfterMs) {
           close();
--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import type * as mesh from '@figshed/core/mesh';
+import * as answerModule from './answer.js';
 import * as bodies from './bodies.js';
 import type * as callRunner from './call-runner.js';
 import * as constants from './constants.js';
@@ -116,20 +117,15 @@
       ]);
       response.end(answer.body);
     },
-    stream(answer) {
+    stream(answer, received) {
       const length = answer.message.headers['content-length'];
       response.writeHead(answer.status, [
         ...answer.headers,
         ...formatClosing(connection),
         ...(length === undefined ? [] : ['Content-Length', length]),
       ]);
-      answer.received.forEach((chunk) => response.write(chunk));
-      answer.message.pipe(response);
-      answer.message.once('close', () => {
-        if (answer.message.complete) return;
-        log.warn('answer-cut', { call: callId });
-        response.destroy();
-      });
+      received.forEach((chunk) => response.write(chunk));
+      answerModule.passOn(answer, response, () => log.warn('answer-cut', { call: callId }));
     },
     refuse(status, retryAfterMs) {
       answerOwn(response, connection, status, retryAfterMs);
--- a/packages/proxy/src/mesh/peer-client.ts
+++ b/packages/proxy/src/mesh/peer-client.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import type * as core from '@figshed/core';
 import type * as mesh from '@figshed/core/mesh';
+import * as answerModule from './answer.js';
 import * as constants from './constants.js';
 import type * as contextModule from './context.js';
 import * as guardedAgent from './guarded-agent.js';
@@ -143,11 +144,12 @@
         return;
       }
       if (!finish()) return;
-      handler.onHead(
-        message.statusCode ?? 0,
-        headersModule.copyHeaders(message.rawHeaders, new Set()),
+      handler.onHead({
+        status: message.statusCode ?? 0,
+        headers: headersModule.copyHeaders(message.rawHeaders, new Set()),
         message,
-      );
+        isWhole: answerModule.watchAnswer(request, message),
+      });
     });
     if (attempt.isRepeatable) {
       handler
--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -1,6 +1,7 @@
 /** Takes attempts from other proxies and runs them at the target on this host. */
 import * as http from 'node:http';
 import type * as mesh from '@figshed/core/mesh';
+import * as answerModule from './answer.js';
 import * as bodies from './bodies.js';
 import * as constants from './constants.js';
 import type * as contextModule from './context.js';
@@ -58,21 +59,19 @@
     takeBody: () => Promise<Buffer | undefined>,
   ): types.AttemptHandler => ({
     takeBody,
-    onHead(status, kept, body) {
+    onHead(answer) {
+      const { status, headers, message } = answer;
       if (response.destroyed) {
-        body.destroy();
+        message.destroy();
         return;
       }
-      const length = body.headers['content-length'];
+      const length = message.headers['content-length'];
       response.writeHead(status, [
-        ...kept,
+        ...headers,
         ...headersModule.formatLoad(target.load()),
         ...(length === undefined ? [] : ['Content-Length', length]),
       ]);
-      body.on('close', () => {
-        if (!body.complete) response.destroy();
-      });
-      body.pipe(response);
+      answerModule.passOn(answer, response, () => undefined);
     },
     onRefused(reason, retryAfterMs) {
       end(response, constants.HTTP.unavailable, headersModule.formatRefusal(reason, retryAfterMs));
--- a/packages/proxy/src/mesh/target-port.ts
+++ b/packages/proxy/src/mesh/target-port.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import type * as core from '@figshed/core';
 import * as mesh from '@figshed/core/mesh';
+import * as answerModule from './answer.js';
 import * as constants from './constants.js';
 import type * as contextModule from './context.js';
 import * as guardedAgent from './guarded-agent.js';
@@ -118,7 +119,7 @@
     onChange();
   };
 
-  const handleHead = (key: string, message: http.IncomingMessage): void => {
+  const handleHead = (key: string, message: http.IncomingMessage, isWhole: () => boolean): void => {
     const entry = open.get(key);
     const status = message.statusCode ?? 0;
     if (!entry) {
@@ -146,14 +147,17 @@
     const settle = (): void => {
       if (!open.delete(key)) return;
       const tookMs = clock.monotonic() - entry.sentAt;
-      noteOutcome(!message.complete || status >= constants.HTTP.firstServerError);
+      noteOutcome(!isWhole() || status >= constants.HTTP.firstServerError);
       metrics.observe('target_ms', tookMs);
-      release(key, message.complete && status < constants.HTTP.firstError ? tookMs : undefined);
+      release(key, isWhole() && status < constants.HTTP.firstError ? tookMs : undefined);
     };
     message.once('close', settle);
-    message.once('end', settle);
-    const kept = headersModule.copyHeaders(message.rawHeaders, new Set());
-    entry.handler.onHead(status, kept, message);
+    entry.handler.onHead({
+      status,
+      headers: headersModule.copyHeaders(message.rawHeaders, new Set()),
+      message,
+      isWhole,
+    });
   };
 
   const send = (key: string, entry: Open, body: Buffer): void => {
@@ -202,9 +206,8 @@
       () => request.destroy(new Error('connect-timeout')),
     );
     request.on('response', (message) => {
-      // A whole answer that is followed by unasked bytes is still whole; others end as incomplete.
       message.on('error', () => undefined);
-      handleHead(key, message);
+      handleHead(key, message, answerModule.watchAnswer(request, message));
     });
     request.on('error', (error) => {
       if (!open.has(key)) return;
--- a/packages/proxy/src/mesh/types.ts
+++ b/packages/proxy/src/mesh/types.ts
@@ -1,7 +1,7 @@
 /** Seams between the route mesh and whatever platform it runs on. */
-import type * as http from 'node:http';
 import type * as mesh from '@figshed/core/mesh';
 import type * as core from '@figshed/core';
+import type * as answerModule from './answer.js';
 
 /** Where configurations come from. */
 export interface ConfigurationSource {
@@ -81,7 +81,7 @@
 export interface AttemptHandler {
   /** A slot is taken for the attempt; answer with the body, or undefined if it is given up. */
   takeBody(): Promise<Buffer | undefined>;
-  onHead(status: number, headers: string[], body: http.IncomingMessage): void;
+  onHead(answer: answerModule.Answer): void;
   onRefused(reason: mesh.RefusalReason, retryAfterMs: number): void;
   onBroken(cause: string): void;
 }
--- a/packages/stand-ins/src/mesh/mesh-target.ts
+++ b/packages/stand-ins/src/mesh/mesh-target.ts
@@ -11,6 +11,10 @@
   extraAnswerShare: number;
   /** Breaks the answer off in its middle. */
   cutAnswerShare: number;
+  /** Gives the answer no length, so that it ends with the connection. */
+  unframedShare: number;
+  /** Resets the connection in the middle of an answer without a length. */
+  unframedCutShare: number;
   /** Answers 500. */
   failureShare: number;
 }
@@ -95,7 +99,14 @@
     id,
     address,
     port,
-    faults: { lostAnswerShare: 0, extraAnswerShare: 0, cutAnswerShare: 0, failureShare: 0 },
+    faults: {
+      lostAnswerShare: 0,
+      extraAnswerShare: 0,
+      cutAnswerShare: 0,
+      unframedShare: 0,
+      unframedCutShare: 0,
+      failureShare: 0,
+    },
     workMs: DEFAULT_WORK_MS,
     runs: [],
     arrivals: 0,
@@ -161,6 +172,17 @@
       response.write(body.slice(0, 2), () => request.socket.resetAndDestroy());
       return;
     }
+    const isCut = random() < faults.unframedCutShare;
+    if (isCut || random() < faults.unframedShare) {
+      const head =
+        `HTTP/1.1 200 OK\r\nfigshed-request-id: ${run.callId}\r\n` +
+        `figshed-response-signature: ${id}.${run.callId}\r\nconnection: close\r\n\r\n`;
+      request.socket.write(head + (isCut ? body.slice(0, 2) : body), () => {
+        if (isCut) setTimeout(() => request.socket.resetAndDestroy(), EXTRA_DELAY_MS);
+        else request.socket.end();
+      });
+      return;
+    }
     const status = random() < faults.failureShare ? HTTP_FAILED : HTTP_OK;
     const { socket } = request;
     response.writeHead(status, headers).end(body, () => {
