--- a/packages/core/src/mesh/placement.ts
+++ b/packages/core/src/mesh/placement.ts
@@ -26,9 +26,11 @@
 export interface PlacementOptions {
   /**
    * What each reach costs a call, in milliseconds: its round trip, and for links between data
-   * centres and regions the delay that their bytes are worth.
+   * centres and regions the delay that their use is worth.
    */
   reachCostMs: Record<Reach, number>;
+  /** The same for each kilobyte of the answer; large answers stay where they are made. */
+  kilobyteCostMs: Record<Reach, number>;
   /** Time in which knowledge of a target loses half of its weight, in milliseconds. */
   loadHalfLifeMs: number;
   /** Time of a call that is assumed before any was measured, in milliseconds. */
@@ -45,6 +47,7 @@
 
 export const placementDefaults: PlacementOptions = {
   reachCostMs: { 'own-host': 0, 'data-centre': 2, region: 20, remote: 110 },
+  kilobyteCostMs: { 'own-host': 0, 'data-centre': 0, region: 2, remote: 6 },
   loadHalfLifeMs: 1_500,
   initialServiceMs: 100,
   coldFactor: 2,
@@ -64,13 +67,14 @@
  * Computes the time until an answer of a candidate is expected, in milliseconds.
  *
  * @example
- * computeExpectedMs(candidate, 120, placementDefaults); // 122
+ * computeExpectedMs(candidate, { meanServiceMs: 120, answerKilobytes: 5 }, placementDefaults);
  */
 export function computeExpectedMs(
   candidate: PlacementCandidate,
-  meanServiceMs: number,
+  call: { meanServiceMs: number; answerKilobytes: number },
   options: PlacementOptions,
 ): number {
+  const { meanServiceMs, answerKilobytes } = call;
   const weight = candidate.load ? 0.5 ** (candidate.loadAgeMs / options.loadHalfLifeMs) : 0;
   const known = candidate.load ?? { running: 0, waiting: 0, serviceMs: 0, failureShare: 0 };
   const serviceMs = known.serviceMs * weight + meanServiceMs * (1 - weight);
@@ -81,18 +85,22 @@
   const crowdMs = (Math.min(1, open / slots) ** 2 * serviceMs) / 2;
   const coldMs = candidate.isCold ? serviceMs * (options.coldFactor - 1) : 0;
   const failureMs = known.failureShare * weight * options.failureCostMs;
-  return options.reachCostMs[candidate.reach] + serviceMs + waitMs + crowdMs + coldMs + failureMs;
+  const reachMs =
+    options.reachCostMs[candidate.reach] +
+    options.kilobyteCostMs[candidate.reach] * answerKilobytes;
+  return reachMs + serviceMs + waitMs + crowdMs + coldMs + failureMs;
 }
 
 /**
  * Chooses the candidate with the earliest expected completion.
  *
  * @example
- * choosePlacement(candidates, new Set(['10.0.0.7']), placementDefaults, random)?.hostId;
+ * choosePlacement(candidates, new Set(['10.0.0.7']), 5, placementDefaults, random)?.hostId;
  */
 export function choosePlacement(
   candidates: readonly PlacementCandidate[],
   tried: ReadonlySet<string>,
+  answerKilobytes: number,
   options: PlacementOptions,
   random: clock.Random,
 ): Placement | undefined {
@@ -104,14 +112,15 @@
     samples.length > 0
       ? samples.reduce((sum, value) => sum + value, 0) / samples.length
       : options.initialServiceMs;
+  const call = { meanServiceMs, answerKilobytes };
   const unknown = open.filter(({ load, openCalls }) => !load && openCalls === 0);
   const explored = unknown[Math.floor(random() * unknown.length)];
   if (explored && unknown.length < open.length && random() < options.explorationShare) {
-    const expectedMs = computeExpectedMs(explored, meanServiceMs, options);
+    const expectedMs = computeExpectedMs(explored, call, options);
     return { hostId: explored.hostId, expectedMs, candidates: open.length };
   }
   return open.reduce<Placement | undefined>((best, candidate) => {
-    const estimate = computeExpectedMs(candidate, meanServiceMs, options);
+    const estimate = computeExpectedMs(candidate, call, options);
     const expectedMs = estimate * (1 + options.noise * random());
     if (best && best.expectedMs <= expectedMs) return best;
     return { hostId: candidate.hostId, expectedMs, candidates: open.length };
--- a/packages/core/test/mesh-placement.test.ts
+++ b/packages/core/test/mesh-placement.test.ts
@@ -60,11 +60,18 @@
 const countChoices = (
   candidates: readonly mesh.PlacementCandidate[],
   rounds: number,
+  kilobytes = 0,
 ): Map<string, number> => {
   const random = createSequence();
   const counts = new Map<string, number>();
   for (let round = 0; round < rounds; round += 1) {
-    const choice = mesh.choosePlacement(candidates, new Set(), mesh.placementDefaults, random);
+    const choice = mesh.choosePlacement(
+      candidates,
+      new Set(),
+      kilobytes,
+      mesh.placementDefaults,
+      random,
+    );
     if (choice) counts.set(choice.hostId, (counts.get(choice.hostId) ?? 0) + 1);
   }
   return counts;
@@ -147,6 +154,13 @@
     assert.equal(counts.get('far'), 100);
   });
 
+  it('keeps large answers near although the near target is busier', () => {
+    const busy = load({ running: 10, waiting: 15 });
+    const candidates = [candidate('near', { load: busy }), candidate('far', { reach: 'remote' })];
+    assert.equal(countChoices(candidates, 100, 90).get('near'), 100);
+    assert.equal(countChoices(candidates, 100, 0).get('far'), 100);
+  });
+
   it('avoids a target that fails, although it fails fast', () => {
     const failing = load({ serviceMs: 10, failureShare: 0.5 });
     const counts = countChoices([candidate('failing', { load: failing }), candidate('sound')], 100);
@@ -166,6 +180,7 @@
     const choice = mesh.choosePlacement(
       [candidate('a'), candidate('b')],
       new Set(['a']),
+      0,
       mesh.placementDefaults,
       createSequence(),
     );
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -61,6 +61,10 @@
 /** Time for an answer on its way back before the caller's own deadline, in milliseconds. */
 const ANSWER_MARGIN_MS = 10;
 
+/** Weight of the newest answer in the mean size of a route's answers. */
+const SIZE_GAIN = 0.1;
+const BYTES_PER_KILOBYTE = 1_024;
+
 interface Budget {
   budget: core.RetryBudget;
 }
@@ -77,6 +81,8 @@
   const splitter = mesh.createSplitter(ctx.random);
   const budgets = new Map<string, Budget>();
   const calls = callLog.createCallLog(ctx);
+  /** Moving mean of the answers of each route, in kilobytes. */
+  const sizes = new Map<string, number>();
 
   const findBudget = (service: string): core.RetryBudget => {
     const known = budgets.get(service);
@@ -90,6 +96,12 @@
     return budget;
   };
 
+  const noteSize = (name: string, bytes: number): void => {
+    const kilobytes = bytes / BYTES_PER_KILOBYTE;
+    const known = sizes.get(name) ?? kilobytes;
+    sizes.set(name, known + (kilobytes - known) * SIZE_GAIN);
+  };
+
   const run = (call: Call, reply: CallReply): (() => void) => {
     const { route } = call;
     const service = splitter.choose(route);
@@ -171,6 +183,7 @@
           return;
         }
         answer = { status, headers, body: Buffer.concat(chunks, size) };
+        noteSize(route.name, size);
         const isFailure = status >= constants.HTTP.firstServerError;
         if (isFailure) calls.noteAttempt(call, { hostId, result: 'failed', cause: String(status) });
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
@@ -222,7 +235,7 @@
     const send = (mayBeLate: boolean): void => {
       // Hosts that had no room in time are asked once more, for room before the deadline.
       if (mayBeLate) fullHosts.forEach((host) => tried.delete(host));
-      const placement = targets.choose(service, tried);
+      const placement = targets.choose(service, tried, sizes.get(route.name) ?? 0);
       const endpoint = placement && targets.endpoint(placement.hostId);
       if (!placement || !endpoint) {
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -1,6 +1,6 @@
 /** Puts the tasks of one mesh process together, and starts and stops them in order. */
 import * as timers from 'node:timers/promises';
-import type * as core from '@figshed/core';
+import * as core from '@figshed/core';
 import * as mesh from '@figshed/core/mesh';
 import * as bodies from './bodies.js';
 import * as callRunner from './call-runner.js';
@@ -27,8 +27,14 @@
 /** Kept free at the end of the grace for the exit itself. */
 const EXIT_MARGIN_MS = 400;
 const STOP_POLL_MS = 20;
-/** How long a newer version that a peer holds may still come from the source itself. */
-const PEER_VERSION_GRACE_MS = 300;
+/** Processes whose questions to the source are short, so that a silent connection shows. */
+const MAX_WATCHERS = 4;
+/** With the time to answer it stays below the bound for a configuration to come into force. */
+const WATCHER_WAIT_MS = 1_500;
+/** The others hear of a version from the watchers; this only bounds calls to the source. */
+const FOLLOWER_WAIT_MS = 15_000;
+/** Time for a newer version to come from the source itself; half of the bound for it to apply. */
+const PEER_VERSION_GRACE_MS = 900;
 
 /**
  * Creates a mesh process on a platform.
@@ -81,6 +87,7 @@
   const noteVersion = (member: core.Member, version: number): void => {
     if (fetchingFrom !== undefined || version <= (routes?.config.version ?? -1)) return;
     fetchingFrom = member.id;
+    adapter.configuration.refresh();
     fetchFromPeer(member, version)
       .catch((error: Error) =>
         log.warn('configuration-fetch-failed', { from: member.id, message: error.message }),
@@ -97,6 +104,15 @@
     onVersion: noteVersion,
   });
 
+  const chooseWaitMs = (): number => {
+    const live = members
+      .list()
+      .filter(({ status }) => status === 'alive')
+      .map(({ id }) => id);
+    const watchers = core.chooseHolders('configuration', live, MAX_WATCHERS);
+    return watchers.includes(settings.id) ? WATCHER_WAIT_MS : FOLLOWER_WAIT_MS;
+  };
+
   const describeTarget = (): core.TargetInfo | null => {
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
     const current = target.current();
@@ -171,7 +187,7 @@
         members.start(),
         ...sides.map((side) => side.start()),
       ]);
-      adapter.configuration.start((config) => applyConfig(config, 'store'));
+      adapter.configuration.start((config) => applyConfig(config, 'source'), chooseWaitMs);
     },
     async stop() {
       if (isStopping) return;
--- a/packages/proxy/src/mesh/targets.ts
+++ b/packages/proxy/src/mesh/targets.ts
@@ -7,7 +7,11 @@
 /** The targets that this process may call. */
 export interface Targets {
   setMember(member: core.Member): void;
-  choose(service: string, tried: ReadonlySet<string>): mesh.Placement | undefined;
+  choose(
+    service: string,
+    tried: ReadonlySet<string>,
+    answerKilobytes: number,
+  ): mesh.Placement | undefined;
   noteLoad(hostId: string, load: mesh.TargetLoad): void;
   noteOpened(hostId: string): void;
   noteClosed(hostId: string): void;
@@ -72,7 +76,7 @@
         circuit: isSameProcess ? known.circuit : core.createCircuit(circuitOptions),
       });
     },
-    choose(service, tried) {
+    choose(service, tried, answerKilobytes) {
       const now = clock.monotonic();
       const callable = listCallable(service);
       const open = callable.filter(({ circuit }) => circuit.mayCall(now));
@@ -87,6 +91,7 @@
           isCold: entry.member.info.target?.isCold === true,
         })),
         tried,
+        answerKilobytes,
         mesh.placementDefaults,
         random,
       );
--- a/packages/proxy/src/mesh/types.ts
+++ b/packages/proxy/src/mesh/types.ts
@@ -5,8 +5,13 @@
 
 /** Where configurations come from. */
 export interface ConfigurationSource {
-  /** Delivers each configuration that the source shows, newest last; versions may repeat. */
-  start(deliver: (config: mesh.MeshConfig) => void): void;
+  /**
+   * Delivers each configuration that the source shows, newest last; versions may repeat.
+   * `chooseWaitMs` tells how long one question to the source may stay open.
+   */
+  start(deliver: (config: mesh.MeshConfig) => void, chooseWaitMs: () => number): void;
+  /** Asks the source again at once, because others hold a newer version. */
+  refresh(): void;
   stop(): void;
 }
 
