Soak the mesh with faults from outside, and name the process in each log line

The soak runs six processes with targets behind loopback links and the store's stand-in. Found beside it: the field 'host' of a call's line replaced that of the process.

--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -184,7 +184,7 @@
       log.info('call-refused', {
         call: typeof callId === 'string' ? callId : undefined,
         status,
-        host: request.headers.host,
+        requestHost: request.headers.host,
         path: request.url,
         version: getRoutes()?.config.version,
       });
--- a/packages/proxy/src/mesh/members.ts
+++ b/packages/proxy/src/mesh/members.ts
@@ -36,9 +36,10 @@
 const RECONTACT_MS = 500;
 /** How often the list of known hosts is read again, for strangers that gossip has missed. */
 const RELIST_MS = 20_000;
-/** How soon a failed read or announcement is tried again, doubled each time up to the largest. */
+/** A failed read or announcement is tried again after this, doubled up to half of the 2 s in which
+    an entry must be back after an outage. */
 const RETRY_MS = 250;
-const MAX_RETRY_MS = 2_000;
+const MAX_RETRY_MS = 1_000;
 const RELIST_JITTER = 0.5;
 
 const options: core.MembershipOptions = {
--- a/packages/stand-ins/src/mesh/mesh-fleet.ts
+++ b/packages/stand-ins/src/mesh/mesh-fleet.ts
@@ -60,6 +60,8 @@
   slots: number;
   random: () => number;
   graceMs?: number;
+  /** Distance of the targets' own ports from those that they announce, for links between. */
+  targetPortShift?: number;
 }
 
 const BUNDLE = url.fileURLToPath(new URL('../../../../target/figshed-mesh.cjs', import.meta.url));
@@ -115,7 +117,8 @@
       id: `t-${index + 1}`,
       service: hostPlan.service,
       address,
-      port: ports.target,
+      port: ports.target + (plan.targetPortShift ?? 0),
+      announcedPort: ports.target,
       slots: plan.slots,
       announcements: { address, port: ports.announcements },
       random: plan.random,
--- a/packages/stand-ins/src/mesh/mesh-target.ts
+++ b/packages/stand-ins/src/mesh/mesh-target.ts
@@ -55,6 +55,8 @@
   service: string;
   address: string;
   port: number;
+  /** The port that it announces, where a link stands between; its own by default. */
+  announcedPort?: number;
   slots: number;
   /** Where the proxy beside it takes announcements. */
   announcements: { address: string; port: number };
@@ -141,7 +143,7 @@
   target.announce = (state) => {
     sequence += 1;
     return send(`/api/Instances.Heartbeat/${id}`, {
-      addr: `${address}:${port}`,
+      addr: `${address}:${options.announcedPort ?? port}`,
       born: bornAt,
       info: { service, version: 'v1', zone: 'z', maxConcurrency: slots },
       status: { state, sequence, coldRemainingMs: 0 },
