Reset connections in the stand-ins without ending them first

Traced: resetAndDestroy ends the writing side before it resets, and a body without a length that ends properly is whole. The stand-ins now reset at once; the check is the same, and it still fails when an error of the connection is not counted. The check of leaving targets failed once because a host's target had not announced itself yet; the harness now waits until every host knows every target.

--- a/packages/stand-ins/src/mesh-soak/fault-link.ts
+++ b/packages/stand-ins/src/mesh-soak/fault-link.ts
@@ -1,5 +1,6 @@
 /** A loopback proxy that delays, resets, cuts one way or silences the connections through it. */
 import * as net from 'node:net';
+import * as resetSocket from '../reset-socket.js';
 
 /** What the link does to connections; every switch is off at the start. */
 export interface LinkFaults {
@@ -56,7 +57,7 @@
     });
     const endBoth = (): void => {
       open.delete(client);
-      if (upstream.errored) client.resetAndDestroy();
+      if (upstream.errored) resetSocket.resetSocket(client);
       client.destroy();
       upstream.destroy();
     };
@@ -72,8 +73,8 @@
     resetAll() {
       const count = open.size;
       [...open].forEach(([client, upstream]) => {
-        client.resetAndDestroy();
-        upstream.resetAndDestroy();
+        resetSocket.resetSocket(client);
+        resetSocket.resetSocket(upstream);
       });
       return count;
     },
--- a/packages/stand-ins/src/mesh-soak/faults.ts
+++ b/packages/stand-ins/src/mesh-soak/faults.ts
@@ -90,18 +90,18 @@
 export const faults: Readonly<Record<string, Fault>> = {
   'kill-process': (world) => restart(pickHost(world), 'SIGKILL'),
   'stop-process': (world) => restart(pickHost(world), 'SIGTERM'),
-  async 'freeze-process'(world, durationMs) {
+  'freeze-process': async function (world, durationMs) {
     const { child } = pickHost(world);
     const isFrozen = child?.kill('SIGSTOP') === true;
     await timers.setTimeout(durationMs);
     child?.kill('SIGCONT');
     return isFrozen;
   },
-  async 'kill-all'({ fleet }) {
+  'kill-all': async function ({ fleet }) {
     await Promise.all(fleet.hosts.map((host) => restart(host, 'SIGKILL')));
     return true;
   },
-  async 'crash-target'(world, durationMs) {
+  'crash-target': async function (world, durationMs) {
     const host = pickHost(world);
     const { target } = host;
     await target.close();
@@ -110,7 +110,7 @@
     await world.replaceTarget(host);
     return true;
   },
-  async 'drain-target'(world) {
+  'drain-target': async function (world) {
     const host = pickHost(world);
     const { target } = host;
     target.stopBeats();
@@ -134,10 +134,10 @@
     withLinkFault(world, durationMs, { delayMs: LINK_DELAY_MS }),
   'silence-target': (world, durationMs) => withLinkFault(world, durationMs, { isSilent: true }),
   'one-way-target': (world, durationMs) => withLinkFault(world, durationMs, { dropsAnswers: true }),
-  async 'reset-target'(world) {
+  'reset-target': async function (world) {
     return (world.links.get(pickHost(world).name)?.resetAll() ?? 0) >= 0;
   },
-  async 'silence-open-target'(world) {
+  'silence-open-target': async function (world) {
     return (world.links.get(pickHost(world).name)?.silenceOpen() ?? 0) >= 0;
   },
   'store-silent': (world, durationMs) => withStoreFault(world, durationMs, { isSilent: true }),
@@ -146,16 +146,16 @@
   'store-slow': (world, durationMs) => withStoreFault(world, durationMs, { slowMs: SLOW_MS }),
   'store-loses-answers': (world, durationMs) =>
     withStoreFault(world, durationMs, { losesAnswers: true }),
-  async 'store-forgets'({ fleet }) {
+  'store-forgets': async function ({ fleet }) {
     const { topics } = fleet.store;
     topics.trim('keyed.op', topics.bounds('keyed.op').endOffset);
     return true;
   },
-  async 'change-configuration'(world) {
+  'change-configuration': async function (world) {
     world.publishNext();
     return true;
   },
-  async 'storm-of-configurations'(world, durationMs) {
+  'storm-of-configurations': async function (world, durationMs) {
     const until = Date.now() + durationMs;
     while (Date.now() < until) {
       world.publishNext();
--- a/packages/stand-ins/src/mesh/mesh-fleet.ts
+++ b/packages/stand-ins/src/mesh/mesh-fleet.ts
@@ -172,16 +172,14 @@
     return status === HTTP_OK;
   };
 
-  const isKnown = (service: string): boolean =>
-    hosts.every((host) =>
-      host.lines.some(
-        (line) =>
-          line.includes('event=member ') &&
-          line.includes('state=up') &&
-          hosts.some(
-            (other) => other.service === service && line.includes(` member=${other.name} `),
-          ),
-      ),
+  /** Tells whether a host has logged that it may call the target of another. */
+  const knows = (host: MeshHost, other: MeshHost): boolean =>
+    host.lines.some(
+      (line) =>
+        line.includes('event=member ') &&
+        line.includes(` member=${other.name} `) &&
+        line.includes('ready=true') &&
+        line.includes('state=up'),
     );
 
   return {
@@ -190,11 +188,15 @@
     publish: (config) => keyedRecord.writeConfig(store.topics, config),
     async waitUntilReady() {
       const until = Date.now() + READY_TIMEOUT_MS;
-      const services = [...new Set(hosts.map(({ service }) => service))];
       while (Date.now() < until) {
         // eslint-disable-next-line no-await-in-loop -- a poll
         const ready = await Promise.all(hosts.map(isReady));
-        if (ready.every(Boolean) && services.every(isKnown)) return;
+        if (
+          ready.every(Boolean) &&
+          hosts.every((host) => hosts.every((other) => knows(host, other)))
+        ) {
+          return;
+        }
         // eslint-disable-next-line no-await-in-loop -- a poll
         await timers.setTimeout(POLL_MS);
       }
--- a/packages/stand-ins/src/mesh/mesh-target.ts
+++ b/packages/stand-ins/src/mesh/mesh-target.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
+import * as resetSocket from '../reset-socket.js';
 
 /** How a target misbehaves; shares are of the calls that it runs. */
 export interface TargetFaults {
@@ -166,12 +167,12 @@
       'content-length': Buffer.byteLength(body),
     };
     if (random() < faults.lostAnswerShare) {
-      request.socket.resetAndDestroy();
+      resetSocket.resetSocket(request.socket);
       return;
     }
     if (random() < faults.cutAnswerShare) {
       response.writeHead(HTTP_OK, headers);
-      response.write(body.slice(0, 2), () => request.socket.resetAndDestroy());
+      response.write(body.slice(0, 2), () => resetSocket.resetSocket(request.socket));
       return;
     }
     const isCut = random() < faults.unframedCutShare;
@@ -180,7 +181,7 @@
         `HTTP/1.1 200 OK\r\nfigshed-request-id: ${run.callId}\r\n` +
         `figshed-response-signature: ${id}.${run.callId}\r\nconnection: close\r\n\r\n`;
       request.socket.write(head + (isCut ? body.slice(0, 2) : body), () => {
-        if (isCut) setTimeout(() => request.socket.resetAndDestroy(), EXTRA_DELAY_MS);
+        if (isCut) setTimeout(() => resetSocket.resetSocket(request.socket), EXTRA_DELAY_MS);
         else request.socket.end();
       });
       return;
--- a/packages/stand-ins/src/store/store-server.ts
+++ b/packages/stand-ins/src/store/store-server.ts
@@ -3,6 +3,7 @@
 import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import * as topicStore from './topic-store.js';
+import * as resetSocket from '../reset-socket.js';
 
 /** What goes wrong; every switch is off at the start. */
 export interface StoreFaults {
@@ -142,7 +143,7 @@
     const body = await readBody(request);
     if (faults.isSilent) return;
     if (faults.isResetting) {
-      request.socket.resetAndDestroy();
+      resetSocket.resetSocket(request.socket);
       return;
     }
     if (faults.slowMs > 0) await timers.setTimeout(faults.slowMs);
