Tell a reset that is read together with the last bytes from an end

Cause: libuv reports a plain end of the stream when data and a reset are found in one poll, so a body without a length looked whole. Seen as '/r' delivered in the check of crossed and cut answers, on a busy machine only. A connection that was reset has no peer address any more.

--- a/packages/proxy/src/mesh/answer.ts
+++ b/packages/proxy/src/mesh/answer.ts
@@ -11,9 +11,16 @@
   isWhole(): boolean;
 }
 
+/** Tells whether the body has no length of its own and ends with its connection. */
+function endsWithConnection({ headers }: http.IncomingMessage): boolean {
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
 /**
  * Watches whether an answer arrives whole. Node reports a body that ends with its connection as
- * complete also when the connection was reset, so an error before the end counts against it.
+ * complete also when the connection was reset, so an error before the end counts against it. When
+ * the last bytes and the reset are read together, libuv reports a plain end; such a connection has
+ * no peer any more, while one that the peer has ended still does.
  *
  * @example
  * const isWhole = watchAnswer(request, message);
@@ -29,6 +36,12 @@
   };
   request.once('error', noteError);
   message.once('error', noteError);
+  if (endsWithConnection(message)) {
+    const { socket } = message;
+    socket.prependOnceListener('end', () => {
+      if (socket.remoteAddress === undefined) isBroken = true;
+    });
+  }
   return () => message.complete && !isBroken;
 }
 
