--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -278,6 +278,7 @@
     const perform = (effect: mesh.CallEffect): void => {
       if (effect.type === 'send') send(effect.mayBeLate);
       else if (effect.type === 'cancel') {
+        calls.noteAttempt(call, { hostId, result: 'cancelled', cause: 'no-answer-in-time' });
         attempt?.cancel();
         attempt = undefined;
         closeAttempt();
