--- a/packages/stand-ins/src/log/log-server.ts
+++ b/packages/stand-ins/src/log/log-server.ts
@@ -3,6 +3,7 @@
 import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import * as stores from './log-store.js';
+import * as bodies from '../read-body.js';
 
 /** What goes wrong; every switch is off at the start. */
 export interface LogFaults {
@@ -49,15 +50,6 @@
   return body.length;
 }
 
-async function readBody(request: http.IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  request.on('data', (chunk: Buffer) => chunks.push(chunk));
-  await new Promise((resolve, reject) => {
-    request.on('end', resolve).on('error', reject);
-  });
-  return Buffer.concat(chunks).toString();
-}
-
 /**
  * Starts the log service. Faults are set by `PUT /faults`, counts read by `GET /counts`.
  *
@@ -111,7 +103,7 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> => {
-    const text = await readBody(request);
+    const text = (await bodies.readBody(request)).toString();
     let body: unknown;
     try {
       body = JSON.parse(text);
@@ -166,7 +158,10 @@
     if (path === '/counts') {
       answerJson(response, HTTP_OK, counts);
     } else if (path === '/faults' && request.method === 'PUT') {
-      faults = { ...faults, ...(JSON.parse(await readBody(request)) as Partial<LogFaults>) };
+      faults = {
+        ...faults,
+        ...(JSON.parse((await bodies.readBody(request)).toString()) as Partial<LogFaults>),
+      };
       wakeAll();
       answerJson(response, HTTP_OK, faults);
     } else {
--- a/packages/stand-ins/src/mesh/mesh-target.ts
+++ b/packages/stand-ins/src/mesh/mesh-target.ts
@@ -3,6 +3,7 @@
 import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import * as resetSocket from '../reset-socket.js';
+import * as bodies from '../read-body.js';
 
 /** How a target misbehaves; shares are of the calls that it runs. */
 export interface TargetFaults {
@@ -74,15 +75,6 @@
 /** Time after an answer at which an extra one is sent. */
 const EXTRA_DELAY_MS = 5;
 
-async function readBody(request: http.IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  request.on('data', (chunk: Buffer) => chunks.push(chunk));
-  await new Promise((resolve, reject) => {
-    request.on('end', resolve).on('error', reject);
-  });
-  return Buffer.concat(chunks).toString();
-}
-
 /**
  * Starts a target.
  *
@@ -231,7 +223,7 @@
       if (!response.writableFinished) run.isCancelled = true;
     });
     try {
-      run.body = await readBody(request);
+      run.body = (await bodies.readBody(request)).toString();
       await timers.setTimeout(target.workMs);
       if (!response.destroyed) answer(request, response, run);
     } finally {
--- a/packages/stand-ins/src/store/store-server.ts
+++ b/packages/stand-ins/src/store/store-server.ts
@@ -4,6 +4,7 @@
 import * as timers from 'node:timers/promises';
 import * as topicStore from './topic-store.js';
 import * as resetSocket from '../reset-socket.js';
+import * as bodies from '../read-body.js';
 
 /** What goes wrong; every switch is off at the start. */
 export interface StoreFaults {
@@ -52,15 +53,6 @@
   body: Buffer | object;
 }
 
-async function readBody(request: http.IncomingMessage): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  request.on('data', (chunk: Buffer) => chunks.push(chunk));
-  await new Promise((resolve, reject) => {
-    request.on('end', resolve).on('error', reject);
-  });
-  return Buffer.concat(chunks);
-}
-
 function formatRead(endOffset: number, firstOffset: number, records: readonly Buffer[]): Buffer {
   const header = Buffer.alloc(READ_HEADER_BYTES);
   header.writeBigUInt64BE(BigInt(endOffset));
@@ -140,7 +132,7 @@
     response: http.ServerResponse,
   ): Promise<void> => {
     const url = new URL(request.url ?? '/', 'http://store');
-    const body = await readBody(request);
+    const body = await bodies.readBody(request);
     if (faults.isSilent) return;
     if (faults.isResetting) {
       resetSocket.resetSocket(request.socket);
