Bound the served calls of the crossed-answers check by the answers that were spoiled

Traced: an extra answer spoils the next call of its connection, more often the busier the machine, and the repeats are bounded by the budget. The bound came from nothing that is promised. The check now counts the spoiled answers at the targets and lets each cost one call or one repeat, and nothing else any call.

--- a/packages/stand-ins/src/mesh/mesh-target.ts
+++ b/packages/stand-ins/src/mesh/mesh-target.ts
@@ -43,6 +43,8 @@
   runs: Run[];
   /** Requests of any kind that arrived, also those that were rejected. */
   arrivals: number;
+  /** Answers that were lost, cut or sent without being asked for; each can spoil one call. */
+  spoiled: number;
   /** Sends an announcement and returns the status of its answer; 0 when there was none. */
   announce(state: 'ready' | 'draining'): Promise<number>;
   deregister(): Promise<number>;
@@ -105,6 +107,7 @@
     workMs: DEFAULT_WORK_MS,
     runs: [],
     arrivals: 0,
+    spoiled: 0,
     announce: () => Promise.resolve(0),
     deregister: () => Promise.resolve(0),
     startBeats: () => undefined,
@@ -159,15 +162,18 @@
       'content-length': Buffer.byteLength(body),
     };
     if (random() < faults.lostAnswerShare) {
+      target.spoiled += 1;
       resetSocket.resetSocket(request.socket);
       return;
     }
     if (random() < faults.cutAnswerShare) {
+      target.spoiled += 1;
       response.writeHead(HTTP_OK, headers);
       response.write(body.slice(0, 2), () => resetSocket.resetSocket(request.socket));
       return;
     }
     const isCut = random() < faults.unframedCutShare;
+    if (isCut) target.spoiled += 1;
     if (isCut || random() < faults.unframedShare) {
       const head =
         `HTTP/1.1 200 OK\r\nfigshed-request-id: ${run.callId}\r\n` +
@@ -184,6 +190,7 @@
       if (random() >= faults.extraAnswerShare) return;
       setTimeout(() => {
         if (socket.destroyed) return;
+        target.spoiled += 1;
         socket.write(
           'HTTP/1.1 200 OK\r\nfigshed-request-id: other\r\n' +
             'figshed-response-signature: other\r\ncontent-length: 5\r\n\r\nother',
