Soak: let faults on one host take turns

Overlapping restarts of one process had the same fault and left a process behind. Steps on one host now follow one another; faults on different hosts still overlap.

--- a/packages/stand-ins/src/mesh-soak/faults.ts
+++ b/packages/stand-ins/src/mesh-soak/faults.ts
@@ -34,11 +34,25 @@
   return fleet.hosts[Math.floor(random() * fleet.hosts.length)] as meshFleet.MeshHost;
 }
 
-async function restart(host: meshFleet.MeshHost, signal: NodeJS.Signals): Promise<boolean> {
-  await host.stop(signal);
-  await timers.setTimeout(RESTART_MS);
-  host.start();
-  return true;
+const turns = new WeakMap<object, Promise<unknown>>();
+
+/** Runs steps on one host one after the other, so that no process or target is started twice. */
+function runInTurn(host: meshFleet.MeshHost, step: () => Promise<boolean>): Promise<boolean> {
+  const turn = (turns.get(host) ?? Promise.resolve()).then(step);
+  turns.set(
+    host,
+    turn.catch(() => undefined),
+  );
+  return turn;
+}
+
+function restart(host: meshFleet.MeshHost, signal: NodeJS.Signals): Promise<boolean> {
+  return runInTurn(host, async () => {
+    await host.stop(signal);
+    await timers.setTimeout(RESTART_MS);
+    host.start();
+    return true;
+  });
 }
 
 /** Changes in force on one set of switches, in the order of their begin. */
@@ -101,27 +115,31 @@
     await Promise.all(fleet.hosts.map((host) => restart(host, 'SIGKILL')));
     return true;
   },
-  'crash-target': async function (world, durationMs) {
+  'crash-target': function (world, durationMs) {
     const host = pickHost(world);
-    const { target } = host;
-    await target.close();
-    world.formerTargets.push(target);
-    await timers.setTimeout(durationMs / 2);
-    await world.replaceTarget(host);
-    return true;
+    return runInTurn(host, async () => {
+      const { target } = host;
+      await target.close();
+      world.formerTargets.push(target);
+      await timers.setTimeout(durationMs / 2);
+      await world.replaceTarget(host);
+      return true;
+    });
   },
-  'drain-target': async function (world) {
+  'drain-target': function (world) {
     const host = pickHost(world);
-    const { target } = host;
-    target.stopBeats();
-    const acknowledged = (await target.announce('draining')) === 200;
-    if (acknowledged) world.leavings.push({ target, acknowledgedAt: Date.now() });
-    await timers.setTimeout(DRAIN_MS * 1.5);
-    await target.deregister();
-    await target.close();
-    world.formerTargets.push(target);
-    await world.replaceTarget(host);
-    return true;
+    return runInTurn(host, async () => {
+      const { target } = host;
+      target.stopBeats();
+      const acknowledged = (await target.announce('draining')) === 200;
+      if (acknowledged) world.leavings.push({ target, acknowledgedAt: Date.now() });
+      await timers.setTimeout(DRAIN_MS * 1.5);
+      await target.deregister();
+      await target.close();
+      world.formerTargets.push(target);
+      await world.replaceTarget(host);
+      return true;
+    });
   },
   'lose-answers': (world, durationMs) =>
     withTargetFault(world, durationMs, { lostAnswerShare: 0.3 }),
