Refuse a customer's calls at the ingress while the targets are full for it

Slots were never idle (4.00 of 4 running at each release), and no target refused, which rules out placement and the queue. A refusal now tells the mean time until a slot frees, and the ingress asks that target again for that customer only after it.

--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -41,8 +41,8 @@
   setSlots(slots: number): void;
   /** Refuses everything that waits. */
   drain(): AdmissionEffect[];
-  /** Calls that run and wait. */
-  load(): { running: number; waiting: number };
+  /** Calls that run and wait, and the mean time between two slots that free while all are taken. */
+  load(): { running: number; waiting: number; slotFreeMs: number };
 }
 
 interface Waiting extends AdmissionRequest {
@@ -130,6 +130,10 @@
       waiting = [];
       return effects;
     },
-    load: () => ({ running: running.size, waiting: waiting.length }),
+    load: () => ({
+      running: running.size,
+      waiting: waiting.length,
+      slotFreeMs: meanServiceMs / Math.max(1, slots),
+    }),
   };
 }
--- a/packages/core/src/routing/target-table.ts
+++ b/packages/core/src/routing/target-table.ts
@@ -8,6 +8,8 @@
 export interface LoadReport {
   running: number;
   waiting: number;
+  /** Mean time between two slots that free at the target while it is full, in milliseconds. */
+  slotFreeMs: number;
 }
 
 /** How an attempt ended, as far as the target's circuit is concerned. */
@@ -16,10 +18,20 @@
 /** The table of targets. */
 export interface TargetTable {
   setMember(member: membershipTypes.Member, now: number): void;
-  choose(service: string, excluded: ReadonlySet<string>, now: number): choice.Choice | undefined;
+  /** Passes over targets that are full for the customer. */
+  choose(
+    service: string,
+    customer: string,
+    excluded: ReadonlySet<string>,
+    now: number,
+  ): choice.Choice | undefined;
   noteSent(id: string, now: number): void;
   noteFinished(id: string, health: AttemptHealth, now: number): void;
   noteLoad(id: string, load: LoadReport, now: number): void;
+  /** Notes that a target had no room for a customer; it has none until a slot frees. */
+  noteFull(id: string, customer: string, now: number): void;
+  /** Tells whether a target of the service is known to have no room for the customer now. */
+  isFull(service: string, customer: string, now: number): boolean;
   /** Notes that a target refused work because it drains, ahead of the gossip about it. */
   noteDraining(id: string): void;
   list(
@@ -45,6 +57,9 @@
   inFlight: number;
   load: number;
   loadAt: number;
+  slotFreeMs: number;
+  /** Until when the target has no room, for each customer; monotonic time in milliseconds. */
+  fullUntil: Map<string, number>;
   circuit: circuits.Circuit;
 }
 
@@ -87,6 +102,8 @@
       inFlight: 0,
       load: 0,
       loadAt: -Infinity,
+      slotFreeMs: 0,
+      fullUntil: new Map<string, number>(),
       circuit: circuits.createCircuit(input.circuit),
       ...(isSame ? known : {}),
       member,
@@ -109,15 +126,20 @@
     mayCall: entry.circuit.mayCall(now),
   });
 
+  const isFullFor = (entry: Entry, customer: string, now: number): boolean =>
+    (entry.fullUntil.get(customer) ?? 0) > now;
+
   return {
     setMember(member, now) {
       if (isUsable(member)) insert(member, now);
       else remove(member.id);
     },
-    choose(service, excluded, now) {
+    choose(service, customer, excluded, now) {
       const group = services.get(service);
       if (!group) return undefined;
-      const candidates = [...group.values()].map((entry) => describe(entry, now));
+      const candidates = [...group.values()]
+        .filter((entry) => !isFullFor(entry, customer, now))
+        .map((entry) => describe(entry, now));
       return choice.chooseTarget(candidates, excluded, input.choice, input.random);
     },
     noteSent(id, now) {
@@ -137,8 +159,17 @@
       const entry = entries.get(id);
       if (!entry) return;
       entry.load = load.running + load.waiting;
+      entry.slotFreeMs = load.slotFreeMs;
       entry.loadAt = now;
     },
+    noteFull(id, customer, now) {
+      const entry = entries.get(id);
+      entry?.fullUntil.set(customer, now + entry.slotFreeMs);
+    },
+    isFull: (service, customer, now) =>
+      [...(services.get(service)?.values() ?? [])].some((entry) =>
+        isFullFor(entry, customer, now),
+      ),
     noteDraining: remove,
     list: (service, now) =>
       [...(services.get(service)?.values() ?? [])].map(({ member, inFlight, circuit }) => ({
--- a/packages/core/test/routing.test.ts
+++ b/packages/core/test/routing.test.ts
@@ -70,6 +70,46 @@
   });
 });
 
+describe('the table of targets', () => {
+  const target = { service: 'catalogue', slots: 4, state: 'up' as const };
+  const createTable = (ids: string[]): core.TargetTable => {
+    const table = core.createTargetTable({
+      dataCentre: 'a',
+      region: 'r',
+      choice: core.choiceDefaults,
+      circuit: core.circuitDefaults,
+      random: support.createRandom(5),
+    });
+    ids.forEach((id) => {
+      const member = support.createMember(id);
+      table.setMember({ ...member, info: { ...member.info, ready: true, target } }, 0);
+    });
+    return table;
+  };
+
+  it('asks a full target again for that customer only when a slot is due', () => {
+    const table = createTable(['a']);
+    const choose = (customer: string, now: number) =>
+      table.choose('catalogue', customer, new Set(), now)?.id;
+    table.noteLoad('a', { running: 4, waiting: 8, slotFreeMs: 12 }, 100);
+    table.noteFull('a', 'greedy', 100);
+    assert.equal(choose('greedy', 111), undefined);
+    assert.equal(table.isFull('catalogue', 'greedy', 111), true);
+    assert.equal(choose('modest', 101), 'a');
+    assert.equal(table.isFull('catalogue', 'modest', 101), false);
+    assert.equal(choose('greedy', 112), 'a');
+    assert.equal(table.isFull('catalogue', 'greedy', 112), false);
+  });
+
+  it('sends to another target while one is full', () => {
+    const table = createTable(['a', 'b']);
+    table.noteLoad('a', { running: 4, waiting: 8, slotFreeMs: 12 }, 100);
+    table.noteFull('a', 'greedy', 100);
+    const chosen = table.choose('catalogue', 'greedy', new Set(), 105);
+    assert.equal(chosen?.id, 'b');
+  });
+});
+
 describe('the circuit of a target', () => {
   it('opens after failures, lets one probe through, and closes when it succeeds', () => {
     const circuit = core.createCircuit(core.circuitDefaults);
--- a/packages/core/test/support.ts
+++ b/packages/core/test/support.ts
@@ -75,3 +75,22 @@
     const id = kind === 'remove-service' ? `service/${service}` : `route/${service}`;
     return createChange(number, { [id]: revision }, [], [id]);
   });
+
+/** A live member of data centre `a` in region `r`, without a target. */
+export function createMember(id: string): core.Member {
+  return {
+    id,
+    incarnation: 1,
+    status: 'alive',
+    info: {
+      instance: `${id}|1`,
+      dataCentre: 'a',
+      region: 'r',
+      address: '127.0.0.1',
+      callerPort: 1,
+      peerPort: 2,
+      ready: false,
+      target: null,
+    },
+  };
+}
--- a/packages/proxy/src/calls/attempt-codec.ts
+++ b/packages/proxy/src/calls/attempt-codec.ts
@@ -78,21 +78,22 @@
  * Formats a load report for a header.
  *
  * @example
- * formatLoad({ running: 3, waiting: 1 }); // '3,1'
+ * formatLoad({ running: 3, waiting: 1, slotFreeMs: 12.5 }); // '3,1,12.5'
  */
 export function formatLoad(load: core.LoadReport): string {
-  return `${load.running},${load.waiting}`;
+  return `${load.running},${load.waiting},${load.slotFreeMs.toFixed(1)}`;
 }
 
 /**
  * Parses the header that `formatLoad` wrote.
  *
  * @example
- * parseLoad('3,1'); // { running: 3, waiting: 1 }
+ * parseLoad('3,1,12.5'); // { running: 3, waiting: 1, slotFreeMs: 12.5 }
  */
 export function parseLoad(text: string | undefined): core.LoadReport | undefined {
   if (!text) return undefined;
-  const [running, waiting] = text.split(',').map(Number);
-  if (!Number.isFinite(running) || !Number.isFinite(waiting)) return undefined;
-  return { running: running as number, waiting: waiting as number };
+  const values = text.split(',').map(Number);
+  const [running, waiting, slotFreeMs] = values;
+  if (values.length < 3 || !values.every(Number.isFinite)) return undefined;
+  return { running, waiting, slotFreeMs } as core.LoadReport;
 }
--- a/packages/proxy/src/ingress/call-runner.ts
+++ b/packages/proxy/src/ingress/call-runner.ts
@@ -66,6 +66,8 @@
 const NO_TARGET_PAUSE_MS = 50;
 /** Targets that one call may lose, as it may be what crashes them. */
 const MAX_TARGETS_LOST = 2;
+/** Reason of the proxy beside a target whose queue has no room for the customer. */
+const QUEUE_FULL = 'queue-full';
 /** Time in which the news of a target's death arrives, before its calls are tried again. */
 const DEATH_NEWS_MS = 60;
 
@@ -145,8 +147,13 @@
       }
     };
 
+    const customer = call.allowed.contract.name;
+
     const fail = (record: AttemptRecord, result: core.AttemptResult): void => {
       if (record.isOver || isOver) return;
+      if (result.reason === QUEUE_FULL) {
+        parts.table.noteFull(record.member.id, customer, clock.monotonic());
+      }
       closeAttempt(record, result.reason);
       results.push(result);
       log.info('attempt-failed', {
@@ -289,7 +296,7 @@
       return {
         attemptId: record.attemptId,
         instance: record.member.info.instance,
-        customer: call.allowed.contract.name,
+        customer,
         service: service.name,
         weight: call.allowed.weight,
         method: call.method,
@@ -308,6 +315,12 @@
       };
     };
 
+    /** Refuses at once: no target that is left has room, and none will before its next answer. */
+    const refuseFull = (): void => {
+      results.push({ outcome: 'not-run', reason: QUEUE_FULL });
+      finish(core.combineOutcomes(results), QUEUE_FULL);
+    };
+
     const waitForTarget = (): void => {
       const result: core.AttemptResult = { outcome: 'not-run', reason: 'no-target' };
       results.push(result);
@@ -326,11 +339,13 @@
     const startAttempt = (): void => {
       if (isOver) return;
       const now = clock.monotonic();
-      const choice = parts.table.choose(service.name, tried, now);
+      const choice = parts.table.choose(service.name, customer, tried, now);
       const member = choice && parts.getMember(choice.id);
       if (!choice || !member) {
-        log.info('no-target', { call: call.callId, service: service.name });
-        waitForTarget();
+        const isFull = parts.table.isFull(service.name, customer, now);
+        log.info('no-target', { call: call.callId, service: service.name, isFull });
+        if (isFull) refuseFull();
+        else waitForTarget();
         return;
       }
       attemptCount += 1;
