Let one reader of a region ask the store, and the others hear from it

One reader of each region now asks; it confirms its version to the hosts of its region by datagrams, and a host that misses confirmations for half of the time in which a change must be in force asks by itself, by rank, one after another. A change is fetched from a holder in the own data centre where there is one, compressed. The loop moved from the adapter into the product.

Ruled out: a reader for each data centre (more calls for the same bound), gossip alone (takes seconds to reach a whole region).

--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -22,6 +22,8 @@
   /** Announces new facts about this process. */
   setInfo(info: Partial<types.MemberInfo>, now: number): types.MembershipEffect[];
   setMark(mark: types.ConfigMark): void;
+  /** Tells members the mark, which was known to be the newest `ageMs` ago. */
+  tellMark(ids: readonly string[], ageMs: number): types.MembershipEffect[];
   /** Announces that this process leaves for good. */
   leave(now: number): types.MembershipEffect[];
   /** Sends a ping to an endpoint whose member is not known yet. */
@@ -269,6 +271,7 @@
         },
       ];
     },
+    mark: () => [],
     'ping-request': (message, from, now) => {
       const subject = members.get(message.subject);
       if (!subject) return [];
@@ -295,7 +298,8 @@
     receive(message, from, now) {
       const effects = merge(message.members, now);
       marks.set(message.from, message.mark);
-      effects.push({ type: 'mark-seen', id: message.from, mark: message.mark });
+      const ageMs = message.type === 'mark' ? message.ageMs : undefined;
+      effects.push({ type: 'mark-seen', id: message.from, mark: message.mark, ageMs });
       const handle = handlers[message.type] as (
         item: types.GossipMessage,
         endpoint: types.Endpoint,
@@ -309,6 +313,15 @@
       // Copied, so that whatever else the caller's object holds stays out of the datagrams.
       mark = { position, version, digest };
     },
+    tellMark(ids, ageMs) {
+      return ids.flatMap((id): types.MembershipEffect[] => {
+        const member = members.get(id);
+        if (!member || id === self.id) return [];
+        sequence += 1;
+        const message = { sequence, from: self.id, mark, ageMs, members: [] };
+        return [{ type: 'send', to: endpointOf(member), message: { type: 'mark', ...message } }];
+      });
+    },
     leave: (now) =>
       replaceSelf({ status: 'left', info: { ...self.info, ready: false, target: null } }, now),
     contact(to) {
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -65,6 +65,16 @@
       subject: string;
       mark: ConfigMark;
       members: Member[];
+    }
+  | {
+      /** Tells the sender's mark and asks for nothing. */
+      type: 'mark';
+      sequence: number;
+      from: string;
+      mark: ConfigMark;
+      /** Time since the mark was known to be the newest, in milliseconds. */
+      ageMs: number;
+      members: Member[];
     };
 
 /** Where to send a datagram. */
@@ -77,7 +87,13 @@
 export type MembershipEffect =
   | { type: 'send'; to: Endpoint; message: GossipMessage }
   | { type: 'member-changed'; member: Member; before: Member | undefined }
-  | { type: 'mark-seen'; id: string; mark: ConfigMark };
+  | {
+      type: 'mark-seen';
+      id: string;
+      mark: ConfigMark;
+      /** Time since the mark was known to be the newest; undefined when the member did not say. */
+      ageMs: number | undefined;
+    };
 
 /** Settings of the membership part; every duration in milliseconds. */
 export interface MembershipOptions {
--- a/packages/core/src/mesh/index.ts
+++ b/packages/core/src/mesh/index.ts
@@ -24,6 +24,13 @@
   type SlotQueueOptions,
   type SlotRequest,
 } from './slot-queue.js';
+export {
+  createSourceWatch,
+  sourceWatchDefaults,
+  type SourceWatch,
+  type SourceWatchOptions,
+  type WatchStep,
+} from './source-watch.js';
 export { createSplitter, type Splitter } from './split.js';
 export {
   createTargetGate,
--- a/packages/core/src/routing/target-table.ts
+++ b/packages/core/src/routing/target-table.ts
@@ -167,9 +167,7 @@
       entry?.fullUntil.set(customer, now + entry.slotFreeMs);
     },
     isFull: (service, customer, now) =>
-      [...(services.get(service)?.values() ?? [])].some((entry) =>
-        isFullFor(entry, customer, now),
-      ),
+      [...(services.get(service)?.values() ?? [])].some((entry) => isFullFor(entry, customer, now)),
     noteDraining: remove,
     list: (service, now) =>
       [...(services.get(service)?.values() ?? [])].map(({ member, inFlight, circuit }) => ({
--- a/packages/proxy/src/gossip-schemas.ts
+++ b/packages/proxy/src/gossip-schemas.ts
@@ -45,4 +45,5 @@
   z.object({ type: z.literal('ping'), isContact: z.boolean(), ...messageFields }),
   z.object({ type: z.literal('ack'), ...messageFields }),
   z.object({ type: z.literal('ping-request'), subject: z.string(), ...messageFields }),
+  z.object({ type: z.literal('mark'), ageMs: z.number().nonnegative(), ...messageFields }),
 ]);
--- a/packages/proxy/src/mesh/index.ts
+++ b/packages/proxy/src/mesh/index.ts
@@ -1,4 +1,5 @@
 /** The route mesh: what a platform's adapter needs to run it. */
+export { createConfigurationTask, type ConfigurationTask } from './configuration-task.js';
 export type { MeshContext } from './context.js';
 export { createMeshMetrics, type MeshMetrics } from './metrics.js';
 export { createMeshProcess, type MeshProcess } from './process.js';
--- a/packages/proxy/src/mesh/members.ts
+++ b/packages/proxy/src/mesh/members.ts
@@ -12,6 +12,8 @@
   get(id: string): core.Member | undefined;
   setInfo(info: Partial<core.MemberInfo>): void;
   setVersion(version: number): void;
+  /** Tells members the version, which was known to be the newest `ageMs` ago. */
+  tellVersion(ids: readonly string[], ageMs: number): void;
   start(): Promise<void>;
   /** Tells others that this process leaves. */
   leave(): void;
@@ -23,8 +25,11 @@
   ctx: contextModule.MeshContext;
   firstContact: types.FirstContact;
   onChange: (member: core.Member, before: core.Member | undefined) => void;
-  /** Hears which configuration version a member holds. */
-  onVersion: (member: core.Member, version: number) => void;
+  /**
+   * Hears which configuration version a member holds, and how long ago it was known to be the
+   * newest, in milliseconds.
+   */
+  onVersion: (member: core.Member, version: number, ageMs: number | undefined) => void;
 }
 
 const TICK_MS = 100;
@@ -123,7 +128,7 @@
         onChange(effect.member, effect.before);
       } else {
         const member = membership.get(effect.id);
-        if (member) onVersion(member, effect.mark.version);
+        if (member) onVersion(member, effect.mark.version, effect.ageMs);
       }
     });
   };
@@ -243,6 +248,7 @@
     setVersion(version) {
       membership.setMark({ position: version, version, digest: '' });
     },
+    tellVersion: (ids, ageMs) => perform(membership.tellMark(ids, Math.round(ageMs))),
     async start() {
       socket.on('message', receive);
       socket.on('error', (error) => log.error('gossip-socket', { message: error.message }));
--- a/packages/proxy/src/mesh/peer-client.ts
+++ b/packages/proxy/src/mesh/peer-client.ts
@@ -1,5 +1,7 @@
 /** Sends attempts to the proxies beside other targets. */
 import * as http from 'node:http';
+import * as util from 'node:util';
+import * as zlib from 'node:zlib';
 import type * as core from '@figshed/core';
 import type * as mesh from '@figshed/core/mesh';
 import * as answerModule from './answer.js';
@@ -27,6 +29,7 @@
   close(): void;
 }
 
+const gunzip: (bytes: Buffer) => Promise<Buffer> = util.promisify(zlib.gunzip);
 const FETCH_TIMEOUT_MS = 1_000;
 
 /**
@@ -194,7 +197,7 @@
           });
         });
       });
-      return JSON.parse(bytes.toString()) as mesh.MeshConfig;
+      return JSON.parse((await gunzip(bytes)).toString()) as mesh.MeshConfig;
     },
     close: () => agent.destroy(),
   };
--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -1,5 +1,7 @@
 /** Takes attempts from other proxies and runs them at the target on this host. */
 import * as http from 'node:http';
+import * as util from 'node:util';
+import * as zlib from 'node:zlib';
 import type * as mesh from '@figshed/core/mesh';
 import * as answerModule from './answer.js';
 import * as bodies from './bodies.js';
@@ -12,6 +14,10 @@
 /** Path at which a peer asks for the configuration that this process holds. */
 export const CONFIGURATION_PATH = '/figshed/configuration';
 
+const gzip: (text: string, options: zlib.ZlibOptions) => Promise<Buffer> = util.promisify(
+  zlib.gzip,
+);
+
 /** What a peer server needs. */
 export interface PeerServerInput {
   ctx: contextModule.MeshContext;
@@ -36,10 +42,29 @@
   const { ctx, target, getConfig, isStopping, held } = input;
   const { clock } = ctx;
 
+  /** The answer to peers, which all ask for one version at once. */
+  let compressed: { version: number; bytes: Promise<Buffer> } | undefined;
+  const compress = (config: mesh.MeshConfig): Promise<Buffer> => {
+    if (compressed?.version !== config.version) {
+      const bytes = gzip(JSON.stringify(config), { level: zlib.constants.Z_BEST_SPEED });
+      compressed = { version: config.version, bytes };
+    }
+    return compressed.bytes;
+  };
+
   const answerConfiguration = (response: http.ServerResponse): void => {
     const config = getConfig();
     if (!config) response.writeHead(constants.HTTP.unavailable).end();
-    else response.writeHead(constants.HTTP.ok).end(JSON.stringify(config));
+    else {
+      compress(config)
+        .then((bytes) =>
+          response.writeHead(constants.HTTP.ok, { 'content-encoding': 'gzip' }).end(bytes),
+        )
+        .catch((error: Error) => {
+          ctx.log.error('configuration-not-compressed', { message: error.message });
+          response.writeHead(constants.HTTP.unavailable).end();
+        });
+    }
   };
 
   const end = (response: http.ServerResponse, status: number, headers: string[]): void => {
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -6,6 +6,7 @@
 import * as callRunner from './call-runner.js';
 import * as callerServer from './caller-server.js';
 import * as constants from './constants.js';
+import * as configurationTask from './configuration-task.js';
 import type * as contextModule from './context.js';
 import * as membersModule from './members.js';
 import * as peerClient from './peer-client.js';
@@ -27,14 +28,6 @@
 /** Kept free at the end of the grace for the exit itself. */
 const EXIT_MARGIN_MS = 400;
 const STOP_POLL_MS = 20;
-/** Processes whose questions to the source are short, so that a silent connection shows. */
-const MAX_WATCHERS = 4;
-/** With the time to answer it stays below the bound for a configuration to come into force. */
-const WATCHER_WAIT_MS = 1_500;
-/** The others hear of a version from the watchers; this only bounds calls to the source. */
-const FOLLOWER_WAIT_MS = 15_000;
-/** Time for a newer version to come from the source itself; half of the bound for it to apply. */
-const PEER_VERSION_GRACE_MS = 900;
 
 /**
  * Creates a mesh process on a platform.
@@ -53,7 +46,6 @@
   let isStopping = false;
   let isRefusingPeers = false;
   let isAnnouncedReady = false;
-  let fetchingFrom: string | undefined;
 
   const targets = targetsModule.createTargets(ctx);
   const peers = peerClient.createPeerClient(ctx);
@@ -77,42 +69,23 @@
     noteReady();
   };
 
-  const fetchFromPeer = async (member: core.Member, version: number): Promise<void> => {
-    if (routes) await timers.setTimeout(PEER_VERSION_GRACE_MS);
-    if (routes && routes.config.version >= version) return;
-    const { address, peerPort } = member.info;
-    applyConfig(await peers.fetchConfig({ address, port: peerPort }), member.id);
-  };
-
-  const noteVersion = (member: core.Member, version: number): void => {
-    if (fetchingFrom !== undefined || version <= (routes?.config.version ?? -1)) return;
-    fetchingFrom = member.id;
-    adapter.configuration.refresh();
-    fetchFromPeer(member, version)
-      .catch((error: Error) =>
-        log.warn('configuration-fetch-failed', { from: member.id, message: error.message }),
-      )
-      .finally(() => {
-        fetchingFrom = undefined;
-      });
-  };
+  const configuration = configurationTask.createConfigurationTask({
+    ctx,
+    source: adapter.configuration,
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- tasks know one another
+    members: () => members,
+    fetchFromPeer: ({ info }) => peers.fetchConfig({ address: info.address, port: info.peerPort }),
+    getVersion: () => routes?.config.version,
+    apply: applyConfig,
+  });
 
   const members = membersModule.createMembers({
     ctx,
     firstContact: adapter.firstContact,
     onChange: (member) => targets.setMember(member),
-    onVersion: noteVersion,
+    onVersion: configuration.noteVersion,
   });
 
-  const chooseWaitMs = (): number => {
-    const live = members
-      .list()
-      .filter(({ status }) => status === 'alive')
-      .map(({ id }) => id);
-    const watchers = core.chooseHolders('configuration', live, MAX_WATCHERS);
-    return watchers.includes(settings.id) ? WATCHER_WAIT_MS : FOLLOWER_WAIT_MS;
-  };
-
   const describeTarget = (): core.TargetInfo | null => {
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
     const current = target.current();
@@ -187,7 +160,7 @@
         members.start(),
         ...sides.map((side) => side.start()),
       ]);
-      adapter.configuration.start((config) => applyConfig(config, 'source'), chooseWaitMs);
+      configuration.start();
     },
     async stop() {
       if (isStopping) return;
@@ -205,7 +178,7 @@
       callers.close();
       await waitUntilIdle(until);
       members.leave();
-      adapter.configuration.stop();
+      configuration.stop();
       log.info('stopped', { tookMs: Math.round(clock.monotonic() - stoppedAt) });
       log.flush();
       callers.destroy();
--- a/packages/proxy/src/mesh/settings.ts
+++ b/packages/proxy/src/mesh/settings.ts
@@ -4,6 +4,8 @@
 const MAX_PORT = 65_535;
 /** One stop lasts this long when the settings give no other bound, in milliseconds. */
 const DEFAULT_GRACE_MS = 6_000;
+/** Time in which a change is in force everywhere when the settings give no other, in milliseconds. */
+const DEFAULT_APPLY_WITHIN_MS = 2_000;
 const DEFAULT_RETRY_RATIO = 0.2;
 const DEFAULT_RETRY_RESERVE = 56;
 const DEFAULT_RETRY_WINDOW_MS = 10_000;
@@ -41,6 +43,8 @@
   metricsPort: port,
   /** Longest time from SIGTERM to the end of the process, in milliseconds. */
   graceMs: durationMs.default(DEFAULT_GRACE_MS),
+  /** Time in which a change of the configuration must be in force, in milliseconds. */
+  applyWithinMs: durationMs.default(DEFAULT_APPLY_WITHIN_MS),
   /** Bound on second sends of all processes together, for each service and window. */
   retries: z
     .object({
--- a/packages/proxy/src/mesh/types.ts
+++ b/packages/proxy/src/mesh/types.ts
@@ -6,13 +6,11 @@
 /** Where configurations come from. */
 export interface ConfigurationSource {
   /**
-   * Delivers each configuration that the source shows, newest last; versions may repeat.
-   * `chooseWaitMs` tells how long one question to the source may stay open.
+   * Reads what is newer than the last read, newest last; empty when nothing came within `waitMs`.
+   *
+   * @throws an Error with its cause when the source does not answer or refuses.
    */
-  start(deliver: (config: mesh.MeshConfig) => void, chooseWaitMs: () => number): void;
-  /** Asks the source again at once, because others hold a newer version. */
-  refresh(): void;
-  stop(): void;
+  read(waitMs: number, signal: AbortSignal): Promise<mesh.MeshConfig[]>;
 }
 
 /** How a new process finds others. */
