--- a/packages/stand-ins/src/mesh-soak/checks.ts
+++ b/packages/stand-ins/src/mesh-soak/checks.ts
@@ -26,6 +26,15 @@
   acknowledgedAt: number;
 }
 
+/** A version that a process was seen to hold. */
+export interface SeenVersion {
+  host: string;
+  /** Identity of the life of the process. */
+  life: number;
+  version: number;
+  callId: string;
+}
+
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 const HTTP_TOO_MANY = 429;
@@ -92,3 +101,21 @@
     ...unasked,
   ];
 }
+
+/**
+ * Checks that no process went back to an older version; `seen` is in the order of the probes.
+ *
+ * @example
+ * checkVersions(seen).length; // 0
+ */
+export function checkVersions(seen: readonly SeenVersion[]): Breach[] {
+  const newest = new Map<string, number>();
+  return seen.flatMap(({ host, life, version, callId }) => {
+    const key = `${host}|${life}`;
+    const before = newest.get(key) ?? version;
+    newest.set(key, Math.max(before, version));
+    if (version >= before) return [];
+    const detail = `${host} went from version ${before} to ${version}`;
+    return [{ promise: 'no-regress', callId, detail }];
+  });
+}
--- a/packages/stand-ins/src/mesh-soak/faults.ts
+++ b/packages/stand-ins/src/mesh-soak/faults.ts
@@ -18,6 +18,8 @@
   replaceTarget(host: meshFleet.MeshHost): Promise<void>;
   /** Publishes the next version. */
   publishNext(): void;
+  /** Publishes the version before the newest again, as a store that was restored would show it. */
+  publishOlder(): void;
 }
 
 /** Injects one fault, ends it, and returns whether it took place. */
@@ -173,6 +175,12 @@
     world.publishNext();
     return true;
   },
+  'show-older-configuration': async function (world, durationMs) {
+    world.publishOlder();
+    await timers.setTimeout(durationMs);
+    world.publishNext();
+    return true;
+  },
   'storm-of-configurations': async function (world, durationMs) {
     const until = Date.now() + durationMs;
     while (Date.now() < until) {
--- a/packages/stand-ins/src/mesh-soak/main.ts
+++ b/packages/stand-ins/src/mesh-soak/main.ts
@@ -30,7 +30,13 @@
 const HTTP_OK = 200;
 /** Ports of the targets lie behind the links at this distance. */
 const TARGET_PORT_SHIFT = 50;
-const NETWORK = 100;
+/** Soaks of different seeds run side by side in networks of their own. */
+const FIRST_NETWORK = 100;
+const NETWORKS = 100;
+/** Pause between two questions for the version that a process holds. */
+const VERSION_PROBE_GAP_MS = 50;
+/** Versions behind the newest that are asked for. */
+const VERSIONS_PROBED = 3;
 
 const hostPlans: meshFleet.HostPlan[] = [
   { service: 'catalogue', dataCentre: 'a', region: 'r' },
@@ -46,6 +52,8 @@
   calls: number;
   served: number;
   taken: Map<string, number>;
+  /** Answers that told which version a process holds. */
+  versions: number;
 }
 
 function writeReport(
@@ -60,7 +68,17 @@
   );
 }
 
-async function runSoak(minutes: number, seed: number, directory: string): Promise<SoakResult> {
+interface SoakOptions {
+  minutes: number;
+  seed: number;
+  /** Where a failed run is written. */
+  directory: string;
+  /** Program of the processes; the built bundle when left out. */
+  program: string | undefined;
+}
+
+async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  const { minutes, seed, directory, program } = options;
   const random = runtime.createRandom(seed);
   const startedAt = Date.now();
   const timeline: string[] = [];
@@ -68,8 +86,9 @@
     timeline.push(`${new Date().toISOString()} +${Date.now() - startedAt} ${text}`);
   };
   const fleet = await meshFleet.startMeshFleet({
-    network: NETWORK,
+    network: FIRST_NETWORK + (seed % NETWORKS),
     hosts: hostPlans,
+    ...(program === undefined ? {} : { program }),
     slots: 4,
     random,
     targetPortShift: TARGET_PORT_SHIFT,
@@ -78,6 +97,7 @@
   const formerTargets: meshTarget.MeshTarget[] = [];
   const leavings: checks.Leaving[] = [];
   const calls: checks.SentCall[] = [];
+  const seen: checks.SeenVersion[] = [];
   const taken = new Map<string, number>();
   const agent = new http.Agent({ keepAlive: true, maxFreeSockets: 16 });
   let version = 1;
@@ -90,6 +110,12 @@
     fleet.publish(meshConfig.createMeshConfig({ version, extraPrefixes }));
   };
 
+  const publishOlder = (): void => {
+    const older = Math.max(1, version - 1);
+    const extraPrefixes = [`/v${older}/`];
+    fleet.publish(meshConfig.createMeshConfig({ version: older, extraPrefixes }));
+  };
+
   const replaceTarget = async (host: meshFleet.MeshHost): Promise<void> => {
     nextTarget += 1;
     host.target = await meshTarget.startMeshTarget({
@@ -152,6 +178,33 @@
     await Promise.all(open);
   };
 
+  const probe = async (host: meshFleet.MeshHost, probed: number): Promise<void> => {
+    const callId = `probe-${seen.length}-${probed}`;
+    const life = host.child?.pid ?? 0;
+    const { status } = await meshCaller.sendCall({
+      address: host.address,
+      port: host.ports.callers,
+      path: `/v${probed}/`,
+      callId,
+    });
+    if (status === HTTP_OK && host.child?.pid === life) {
+      seen.push({ host: host.name, life, version: probed, callId });
+    }
+  };
+
+  /** Asks one host after the other which versions it serves, each host one question at a time. */
+  const probeVersions = async (host: meshFleet.MeshHost): Promise<void> => {
+    while (!isOver) {
+      const newest = version;
+      for (let probed = Math.max(1, newest - VERSIONS_PROBED); probed <= newest; probed += 1) {
+        // eslint-disable-next-line no-await-in-loop -- the order of the answers counts
+        await probe(host, probed);
+      }
+      // eslint-disable-next-line no-await-in-loop -- a steady rate
+      await timers.setTimeout(VERSION_PROBE_GAP_MS);
+    }
+  };
+
   const world: faultsModule.SoakWorld = {
     fleet,
     links,
@@ -160,6 +213,7 @@
     formerTargets,
     replaceTarget,
     publishNext,
+    publishOlder,
   };
 
   const injectSeries = async (until: number): Promise<void> => {
@@ -228,7 +282,7 @@
     fleet.publish(meshConfig.createMeshConfig({ version }));
     await fleet.waitUntilReady();
     note(`ready seed=${seed}`);
-    const load = callAlways();
+    const load = Promise.all([callAlways(), ...fleet.hosts.map(probeVersions)]);
     const until = Date.now() + minutes * MS_PER_MINUTE;
     await Promise.all(Array.from({ length: MAX_OVERLAP }, () => injectSeries(until)));
     const recovery = await checkRecovery();
@@ -238,13 +292,17 @@
     const runs = targets
       .flatMap((target) => target.runs)
       .filter(({ callId }) => !callId.startsWith('probe-'));
-    const breaches = [...checks.checkCalls(calls, runs, leavings), ...recovery];
+    const breaches = [
+      ...checks.checkCalls(calls, runs, leavings),
+      ...checks.checkVersions(seen),
+      ...recovery,
+    ];
     breaches.forEach(({ promise, callId, detail }) =>
       note(`breach promise=${promise} call=${callId} ${detail}`),
     );
     if (breaches.length > 0) writeReport(directory, timeline, fleet);
     const served = calls.filter(({ result }) => result.status === HTTP_OK).length;
-    return { breaches, calls: calls.length, served, taken };
+    return { breaches, calls: calls.length, served, taken, versions: seen.length };
   } finally {
     isOver = true;
     agent.destroy();
@@ -253,26 +311,50 @@
   }
 }
 
+async function runSeed(options: SoakOptions): Promise<boolean> {
+  const { seed, directory } = options;
+  const { breaches, calls, served, taken, versions } = await runSoak(options);
+  const faults = [...taken].map(([name, count]) => `${name}=${count}`).join(' ');
+  process.stdout.write(
+    `seed ${seed}: ${calls} calls, ${served} served, ${versions} versions seen; faults: ${faults}\n`,
+  );
+  breaches.slice(0, 20).forEach(({ promise, callId, detail }) => {
+    process.stdout.write(`broken ${promise}: call ${callId} ${detail}\n`);
+  });
+  const isHeld = breaches.length === 0 && taken.size > 0 && versions > 0;
+  process.stdout.write(isHeld ? `seed ${seed} held\n` : `seed ${seed} failed, see ${directory}\n`);
+  return isHeld;
+}
+
+/** Reads `4` or `1-50`. */
+function readSeeds(text: string): number[] {
+  const [first = 1, last = first] = text.split('-').map(Number);
+  return Array.from({ length: last - first + 1 }, (_, index) => first + index);
+}
+
 const main = citty.defineCommand({
   meta: { name: 'soak:mesh', description: 'Injects faults at random and checks every promise' },
   args: {
-    minutes: { type: 'string', description: 'Length of the run', default: '1' },
-    seed: { type: 'string', description: 'Seed of the faults and their order', default: '1' },
+    minutes: { type: 'string', description: 'Length of the run of each seed', default: '1' },
+    seed: {
+      type: 'string',
+      description: 'Seed of the faults, or a range such as 1-50',
+      default: '1',
+    },
     results: { type: 'string', description: 'Where a failed run is written', default: 'results' },
+    program: { type: 'string', description: 'Program to run instead of the built bundle' },
   },
   async run({ args }) {
-    const seed = Number(args.seed);
-    const directory = path.join(args.results, `mesh-soak-${seed}`);
-    const { breaches, calls, served, taken } = await runSoak(Number(args.minutes), seed, directory);
-    const faults = [...taken].map(([name, count]) => `${name}=${count}`).join(' ');
-    process.stdout.write(`seed ${seed}: ${calls} calls, ${served} served; faults: ${faults}\n`);
-    breaches.slice(0, 20).forEach(({ promise, callId, detail }) => {
-      process.stdout.write(`broken ${promise}: call ${callId} ${detail}\n`);
-    });
-    const isHeld = breaches.length === 0 && taken.size > 0;
-    process.stdout.write(isHeld ? 'held\n' : `failed, see ${directory}\n`);
+    const failed: number[] = [];
+    for (const seed of readSeeds(args.seed)) {
+      const directory = path.join(args.results, `mesh-soak-${seed}`);
+      const options = { minutes: Number(args.minutes), seed, directory, program: args.program };
+      // eslint-disable-next-line no-await-in-loop -- one seed after the other
+      if (!(await runSeed(options))) failed.push(seed);
+    }
+    process.stdout.write(failed.length === 0 ? 'held\n' : `failed seeds: ${failed.join(' ')}\n`);
     // Timers of calls that were abandoned would keep the process for seconds.
-    process.exit(isHeld ? 0 : 1);
+    process.exit(failed.length === 0 ? 0 : 1);
   },
 });
 
--- a/packages/stand-ins/src/mesh/mesh-fleet.ts
+++ b/packages/stand-ins/src/mesh/mesh-fleet.ts
@@ -62,6 +62,8 @@
   graceMs?: number;
   /** Distance of the targets' own ports from those that they announce, for links between. */
   targetPortShift?: number;
+  /** Program of the processes; the built bundle when left out. */
+  program?: string;
 }
 
 const BUNDLE = url.fileURLToPath(new URL('../../../../target/figshed-mesh.cjs', import.meta.url));
@@ -132,7 +134,7 @@
       lines: [],
       child: undefined,
       start() {
-        const child = childProcess.spawn(process.execPath, [BUNDLE], {
+        const child = childProcess.spawn(process.execPath, [plan.program ?? BUNDLE], {
           env: { PATH: process.env.PATH, FIGSHED_BOOT: file },
           stdio: ['ignore', 'pipe', 'pipe'],
         });
