--- a/packages/core/src/mesh/call-machine.ts
+++ b/packages/core/src/mesh/call-machine.ts
@@ -14,18 +14,20 @@
   | { type: 'refused'; reason: types.RefusalReason; retryAfterMs: number }
   /** The attempt ended without an answer; it may have run. */
   | { type: 'broken' }
+  /** The only open attempt takes much longer than calls of its kind usually do. */
+  | { type: 'overdue' }
   /** A whole answer of the target is at hand. */
   | { type: 'answered'; isFailure: boolean }
   /** The answer is passed on while it arrives and cannot be replaced any more. */
   | { type: 'streaming' }
-  /** Its time is over; `isUnsent` when the open attempt is known not to have run. */
+  /** Its time is over; `isUnsent` when the open attempts are known not to have run. */
   | { type: 'timeout'; isUnsent: boolean }
   | { type: 'caller-left' };
 
 /** What the proxy is to do. */
 export type CallEffect =
   | { type: 'send'; mayBeLate: boolean }
-  /** Abandons the attempt that is under way. */
+  /** Abandons the attempts that are under way, but for the one whose answer is passed on. */
   | { type: 'cancel' }
   /** Passes on the answer that is at hand. */
   | { type: 'deliver' }
@@ -39,6 +41,10 @@
   maxAttempts: number;
   /** Refusals for lack of room after which the call may also be answered late. */
   maxRefusals: number;
+  /** Refusals of the call as a late one after which it is turned away. */
+  maxLateRefusals: number;
+  /** True when its objective has passed before it was sent, as for a caller who comes back. */
+  startsLate: boolean;
   /** Takes one repeat from the budget of the service, or returns false when it is spent. */
   takeRetry: () => boolean;
 }
@@ -74,12 +80,13 @@
  * Creates the machine of one call.
  *
  * @example
- * const machine = createCallMachine({ isRepeatable: true, maxAttempts: 2, maxRefusals: 3, takeRetry });
+ * const machine = createCallMachine(policy);
  * machine.handle({ type: 'start' }); // [{ type: 'send', mayBeLate: false }]
  */
 export function createCallMachine(policy: CallPolicy): CallMachine {
   let isOver = false;
-  let isOpen = false;
+  let open = 0;
+  let isHedged = false;
   let isStreaming = false;
   /** Attempts that may have run. */
   let ran = 0;
@@ -87,10 +94,11 @@
   let misses = 0;
   let retryAfterMs = 0;
   /** True once no target was found at which the objective can be met. */
-  let isLate = false;
+  let isLate = policy.startsLate;
+  let lateRefusals = 0;
 
   const send = (): CallEffect[] => {
-    isOpen = true;
+    open += 1;
     return [{ type: 'send', mayBeLate: isLate }];
   };
 
@@ -121,40 +129,59 @@
   const mayRepeat = (): boolean =>
     policy.isRepeatable && ran < policy.maxAttempts && policy.takeRetry();
 
+  const cancelOpen = (): CallEffect[] => (open > 0 ? [{ type: 'cancel' }] : []);
+
   const handlers: Handlers = {
     start: send,
-    'no-target': () => (refusals > 0 && !isLate ? sendLate() : turnAway()),
+    'no-target': function () {
+      open -= 1;
+      if (open > 0) return [];
+      return refusals > 0 && !isLate ? sendLate() : turnAway();
+    },
     refused(event) {
-      isOpen = false;
+      open -= 1;
       noteRefusal(event);
       // A refusal by the target itself has drawn on the budget of arrivals.
-      if (event.reason === 'target-refused' && !policy.takeRetry()) return turnAway();
-      if (isLate || misses >= MAX_MISSES) return turnAway();
+      const mayGoOn = event.reason !== 'target-refused' || policy.takeRetry();
+      if (open > 0) return [];
+      if (!mayGoOn || misses >= MAX_MISSES) return turnAway();
+      if (isLate) {
+        if (!missReasons.has(event.reason)) lateRefusals += 1;
+        return lateRefusals >= policy.maxLateRefusals ? turnAway() : send();
+      }
       return refusals >= policy.maxRefusals ? sendLate() : send();
     },
     broken() {
-      isOpen = false;
+      open -= 1;
       ran += 1;
+      if (open > 0) return [];
       return mayRepeat() ? send() : turnAway();
     },
+    overdue() {
+      const mayHedge = policy.isRepeatable && !isStreaming && !isHedged && open === 1;
+      if (!mayHedge || ran + open >= policy.maxAttempts || !policy.takeRetry()) return [];
+      isHedged = true;
+      return send();
+    },
     answered({ isFailure }) {
-      isOpen = false;
+      open -= 1;
       ran += 1;
-      return isFailure && mayRepeat() ? send() : finish({ type: 'deliver' });
+      if (isFailure && open > 0) return [];
+      if (isFailure && mayRepeat()) return send();
+      return [...cancelOpen(), ...finish({ type: 'deliver' })];
     },
     streaming() {
       isStreaming = true;
-      return [];
+      return open > 1 ? [{ type: 'cancel' }] : [];
     },
     timeout({ isUnsent }) {
       if (isStreaming) return [];
-      const mayHaveRun = ran > 0 || (isOpen && !isUnsent);
-      const cancel: CallEffect[] = isOpen ? [{ type: 'cancel' }] : [];
+      const mayHaveRun = ran > 0 || (open > 0 && !isUnsent);
       const status = mayHaveRun ? HTTP_GATEWAY_TIMEOUT : HTTP_UNAVAILABLE;
       const outcome = mayHaveRun ? 'unknown' : 'not-run';
-      return [...cancel, ...finish({ type: 'answer', status, outcome, retryAfterMs })];
+      return [...cancelOpen(), ...finish({ type: 'answer', status, outcome, retryAfterMs })];
     },
-    'caller-left': () => (isOpen ? finish({ type: 'cancel' }) : finish({ type: 'abort' })),
+    'caller-left': () => (open > 0 ? finish({ type: 'cancel' }) : finish({ type: 'abort' })),
   };
 
   return {
--- a/packages/core/src/mesh/index.ts
+++ b/packages/core/src/mesh/index.ts
@@ -1,4 +1,10 @@
 /** Decisions of the route mesh: routes, splits, placement, admission, the life of a call. */
+export {
+  answerTimesDefaults,
+  createAnswerTimes,
+  type AnswerTimes,
+  type AnswerTimesOptions,
+} from './answer-times.js';
 export {
   createCallMachine,
   type CallEffect,
@@ -39,6 +45,7 @@
   type TargetAnnouncement,
   type TargetGate,
 } from './target-gate.js';
+export { createUsualDeadlines, type UsualDeadlines } from './usual-deadlines.js';
 export type {
   CallerLimits,
   MeshConfig,
--- a/packages/core/test/mesh-call-machine.test.ts
+++ b/packages/core/test/mesh-call-machine.test.ts
@@ -11,6 +11,8 @@
   isRepeatable: true,
   maxAttempts: 2,
   maxRefusals: 3,
+  maxLateRefusals: 1,
+  startsLate: false,
   takeRetry: () => true,
   ...over,
 });
@@ -38,6 +40,7 @@
   fc.constant<Step>({ type: 'broken' }),
   fc.boolean().map((isFailure): Step => ({ type: 'answered', isFailure })),
   fc.constant<Step>({ type: 'no-target' }),
+  fc.constant<Step>({ type: 'overdue' }),
   fc.boolean().map((isUnsent): Step => ({ type: 'timeout', isUnsent })),
   fc.constant<Step>({ type: 'caller-left' }),
 );
@@ -46,18 +49,20 @@
   sends: number;
   mayHaveRun: number;
   finals: mesh.CallEffect[];
-  isOpenAtEnd: boolean;
+  open: number;
 }
 
+/** Events that end one open attempt. */
+const endingTypes = new Set(['refused', 'broken', 'answered', 'no-target']);
 const finalTypes = new Set(['answer', 'deliver', 'abort']);
 
 function play(machine: mesh.CallMachine, steps: readonly Step[]): Trace {
-  const trace: Trace = { sends: 0, mayHaveRun: 0, finals: [], isOpenAtEnd: false };
+  const trace: Trace = { sends: 0, mayHaveRun: 0, finals: [], open: 0 };
   const take = (effects: readonly mesh.CallEffect[]): void =>
     effects.forEach((effect) => {
       if (effect.type === 'send') {
         trace.sends += 1;
-        trace.isOpenAtEnd = true;
+        trace.open += 1;
       }
       if (finalTypes.has(effect.type)) trace.finals.push(effect);
     });
@@ -65,10 +70,10 @@
   steps.forEach((event) => {
     const wasOver = machine.isOver();
     if (!wasOver && (event.type === 'broken' || event.type === 'answered')) trace.mayHaveRun += 1;
-    if (!wasOver && event.type === 'timeout' && !event.isUnsent && trace.isOpenAtEnd) {
+    if (!wasOver && event.type === 'timeout' && !event.isUnsent && trace.open > 0) {
       trace.mayHaveRun += 1;
     }
-    if (event.type !== 'timeout' && event.type !== 'caller-left') trace.isOpenAtEnd = false;
+    if (!wasOver && endingTypes.has(event.type)) trace.open -= 1;
     take(machine.handle(event));
   });
   return trace;
@@ -133,6 +138,39 @@
     );
   });
 
+  it('sends an overdue call once more where it may be repeated, and takes the first answer', () => {
+    let budget = 1;
+    const takeRetry = (): boolean => {
+      budget -= 1;
+      return budget >= 0;
+    };
+    const machine = mesh.createCallMachine(policy({ takeRetry }));
+    const send = { type: 'send', mayBeLate: false };
+    machine.handle({ type: 'start' });
+    assert.deepEqual(machine.handle({ type: 'overdue' }), [send]);
+    assert.deepEqual(machine.handle({ type: 'overdue' }), []);
+    assert.deepEqual(machine.handle(refusal('full')), []);
+    assert.deepEqual(machine.handle({ type: 'answered', isFailure: false }), [{ type: 'deliver' }]);
+  });
+
+  it('gives up the other attempt when one has answered', () => {
+    const machine = mesh.createCallMachine(policy());
+    machine.handle({ type: 'start' });
+    machine.handle({ type: 'overdue' });
+    assert.deepEqual(machine.handle({ type: 'answered', isFailure: false }), [
+      { type: 'cancel' },
+      { type: 'deliver' },
+    ]);
+  });
+
+  it('sends no overdue call again that must run once, or for which the budget has nothing', () => {
+    [policy({ isRepeatable: false }), policy({ takeRetry: () => false })].forEach((item) => {
+      const machine = mesh.createCallMachine(item);
+      machine.handle({ type: 'start' });
+      assert.deepEqual(machine.handle({ type: 'overdue' }), []);
+    });
+  });
+
   it('asks for late room only when no place could meet the objective', () => {
     const machine = mesh.createCallMachine(policy());
     machine.handle({ type: 'start' });
@@ -144,6 +182,18 @@
     ]);
   });
 
+  it('asks several places for late room before it turns a call away', () => {
+    const machine = mesh.createCallMachine(policy({ maxLateRefusals: 3, startsLate: true }));
+    const late = [{ type: 'send', mayBeLate: true }];
+    assert.deepEqual(machine.handle({ type: 'start' }), late);
+    assert.deepEqual(machine.handle(refusal('too-late', 60)), late);
+    assert.deepEqual(machine.handle(refusal('draining', 0)), late);
+    assert.deepEqual(machine.handle(refusal('full', 50)), late);
+    assert.deepEqual(machine.handle(refusal('too-late', 40)), [
+      { type: 'answer', status: 503, outcome: 'not-run', retryAfterMs: 40 },
+    ]);
+  });
+
   it('passes on the failure of a target when the budget allows no second send', () => {
     const machine = mesh.createCallMachine(policy({ takeRetry: () => false }));
     machine.handle({ type: 'start' });
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -3,6 +3,7 @@
 import * as mesh from '@figshed/core/mesh';
 import type * as answerModule from './answer.js';
 import type * as bodies from './bodies.js';
+import * as callAttempts from './call-attempts.js';
 import * as callLog from './call-log.js';
 import * as constants from './constants.js';
 import type * as contextModule from './context.js';
@@ -61,6 +62,10 @@
 /** Time for an answer on its way back before the caller's own deadline, in milliseconds. */
 const ANSWER_MARGIN_MS = 10;
 
+type Performer<K extends mesh.CallEffect['type']> = (
+  effect: Extract<mesh.CallEffect, { type: K }>,
+) => void;
+
 /** Weight of the newest answer in the mean size of a route's answers. */
 const SIZE_GAIN = 0.1;
 const BYTES_PER_KILOBYTE = 1_024;
@@ -75,8 +80,10 @@
   const { ctx, targets, target, peers, held, countProcesses } = input;
   const { settings, clock, metrics } = ctx;
   const splitter = mesh.createSplitter(ctx.random);
+  const deadlines = mesh.createUsualDeadlines();
   const budgets = new Map<string, core.RetryBudget>();
   const calls = callLog.createCallLog(ctx);
+  const times = mesh.createAnswerTimes(mesh.answerTimesDefaults);
   /** Moving mean of the answers of each route, in kilobytes. */
   const sizes = new Map<string, number>();
 
@@ -106,22 +113,31 @@
     const tried = new Set<string>();
     const fullHosts = new Set<string>();
     const limitAt = Math.min(call.deadlineAt, call.receivedAt + route.timeoutMs);
+    // A target's own call has its parent's deadline, which says nothing of earlier tries.
+    const spentMs = call.isNested
+      ? 0
+      : deadlines.note(route.name, call.deadlineAt - call.receivedAt);
+    const objectiveAt = Math.min(limitAt, call.receivedAt + route.objectiveMs - spentMs);
+    let isLate = false;
     const machine = mesh.createCallMachine({
       isRepeatable: route.isRepeatable,
       maxAttempts: route.maxAttempts,
       maxRefusals: constants.MAX_REFUSALS,
+      maxLateRefusals: constants.MAX_LATE_REFUSALS,
+      startsLate: objectiveAt <= call.receivedAt,
       takeRetry: () => budget.takeRetry(),
     });
-    let attempt: types.OpenAttempt | undefined;
-    /** Takes the open attempt off the count of its host; does nothing the second time. */
-    let closeAttempt = (): void => undefined;
-    let attemptNumber = 0;
+    const attempts = callAttempts.createCallAttempts((hostId) => targets.noteClosed(hostId));
+    /** The attempt whose answer is passed on, and the host that it came from. */
+    let answering: number | undefined;
     let hostId = '';
-    let answer: { status: number; headers: string[]; body: Buffer } | undefined;
+    let answer: callAttempts.WholeAnswer | undefined;
     let timer: NodeJS.Timeout | undefined;
+    let overdueTimer: NodeJS.Timeout | undefined;
 
     const finish = (outcome: string, status: number): void => {
       clearTimeout(timer);
+      clearTimeout(overdueTimer);
       const tookMs = clock.monotonic() - call.receivedAt;
       metrics.count('calls_total', { outcome });
       metrics.observe('call_ms', tookMs);
@@ -136,121 +152,94 @@
       });
     };
 
-    /** Gathers an answer until it is whole or too large to be held. */
-    const receive = (received: answerModule.Answer, number: number, close: () => void): void => {
-      const { status, headers, message } = received;
-      const chunks: Buffer[] = [];
-      let size = 0;
-      let isStreaming = false;
-      const isCurrent = (): boolean => number === attemptNumber && !machine.isOver();
-      const stream = (): void => {
-        isStreaming = true;
-        held.release(size);
-        // eslint-disable-next-line @typescript-eslint/no-use-before-define -- events and effects call one another
-        handle({ type: 'streaming' });
-        message.removeAllListeners('data');
-        clearTimeout(timer);
-        reply.stream(received, chunks);
-      };
-      message.on('data', (chunk: Buffer) => {
-        if (isStreaming) return;
-        chunks.push(chunk);
-        if (!held.take(chunk.length)) {
-          stream();
-          return;
-        }
-        size += chunk.length;
-        if (size > constants.MAX_HELD_ANSWER_BYTES) stream();
-      });
-      message.once('close', () => {
-        close();
-        if (isStreaming) {
-          // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
-          handle({ type: 'answered', isFailure: false });
-          return;
-        }
-        held.release(size);
-        if (!isCurrent()) return;
-        attempt = undefined;
-        if (!received.isWhole()) {
-          calls.noteAttempt(call, { hostId, result: 'cut', cause: 'answer-incomplete' });
-          // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
-          handle({ type: 'broken' });
-          return;
-        }
-        answer = { status, headers, body: Buffer.concat(chunks, size) };
-        noteSize(route.name, size);
-        const isFailure = status >= constants.HTTP.firstServerError;
-        if (isFailure) calls.noteAttempt(call, { hostId, result: 'failed', cause: String(status) });
-        // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
-        handle({ type: 'answered', isFailure });
-      });
-    };
+    const handle = (event: mesh.CallEvent): void =>
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- events and effects call one another
+      machine.handle(event).forEach((effect) => perform(effect));
 
-    const createHandler = (
-      host: string,
-      number: number,
-      close: () => void,
-    ): peerClient.PeerAttemptHandler => {
-      const isCurrent = (): boolean => number === attemptNumber && !machine.isOver();
-      return {
-        takeBody: () => Promise.resolve(isCurrent() ? call.body : undefined),
-        onLoad(load) {
-          targets.noteLoad(host, load);
-          targets.noteAnswered(host);
+    const receive = (received: answerModule.Answer, number: number, host: string): void => {
+      callAttempts.gatherAnswer(received, held, {
+        onLarge(chunks) {
+          answering = number;
+          hostId = host;
+          handle({ type: 'streaming' });
+          clearTimeout(timer);
+          clearTimeout(overdueTimer);
+          reply.stream(received, chunks);
         },
-        onHead(received) {
-          if (!isCurrent()) {
-            close();
-            received.message.destroy();
-            return;
-          }
-          receive(received, number, close);
+        onPassed() {
+          attempts.settle(number);
+          handle({ type: 'answered', isFailure: false });
         },
-        onRefused(reason, retryAfterMs) {
-          close();
-          if (reason === 'unreachable') targets.noteSilent(host);
-          if (reason === 'full') fullHosts.add(host);
-          if (!isCurrent()) return;
-          attempt = undefined;
-          calls.noteAttempt(call, { hostId: host, result: 'refused', cause: reason });
-          // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
-          handle({ type: 'refused', reason, retryAfterMs });
+        onWhole(whole) {
+          const ended = attempts.settle(number);
+          if (!ended) return;
+          answer = whole;
+          hostId = host;
+          noteSize(route.name, whole.body.length);
+          const isFailure = whole.status >= constants.HTTP.firstServerError;
+          if (isFailure) {
+            const cause = String(whole.status);
+            calls.noteAttempt(call, { hostId: host, result: 'failed', cause });
+          } else times.note(route.name, clock.monotonic() - ended.openedAt);
+          handle({ type: 'answered', isFailure });
         },
-        onBroken(cause) {
-          close();
-          if (!isCurrent()) return;
-          attempt = undefined;
-          calls.noteAttempt(call, { hostId: host, result: 'broken', cause });
-          // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
+        onCut() {
+          if (!attempts.settle(number)) return;
+          calls.noteAttempt(call, { hostId: host, result: 'cut', cause: 'answer-incomplete' });
           handle({ type: 'broken' });
         },
-      };
+      });
+    };
+
+    const createHandler = (host: string, number: number): peerClient.PeerAttemptHandler => ({
+      takeBody: () => Promise.resolve(attempts.has(number) ? call.body : undefined),
+      onLoad(load) {
+        targets.noteLoad(host, load);
+        targets.noteAnswered(host);
+      },
+      onHead(received) {
+        if (attempts.has(number)) receive(received, number, host);
+        else received.message.destroy();
+      },
+      onRefused(reason, retryAfterMs) {
+        if (reason === 'unreachable') targets.noteSilent(host);
+        if (reason === 'full') fullHosts.add(host);
+        if (!attempts.settle(number)) return;
+        calls.noteAttempt(call, { hostId: host, result: 'refused', cause: reason });
+        handle({ type: 'refused', reason, retryAfterMs });
+      },
+      onBroken(cause) {
+        if (!attempts.settle(number)) return;
+        calls.noteAttempt(call, { hostId: host, result: 'broken', cause });
+        handle({ type: 'broken' });
+      },
+    });
+
+    /** Watches for an answer that takes much longer than usual, where a second send may help. */
+    const watchOverdue = (): void => {
+      clearTimeout(overdueTimer);
+      const afterMs = times.overdueAfterMs(route.name);
+      if (!route.isRepeatable || attempts.count() !== 1 || afterMs === undefined) return;
+      if (clock.monotonic() + afterMs >= limitAt) return;
+      overdueTimer = setTimeout(() => handle({ type: 'overdue' }), afterMs);
     };
 
     const send = (mayBeLate: boolean): void => {
       // Hosts that had no room in time are asked once more, for room before the deadline.
-      if (mayBeLate) fullHosts.forEach((host) => tried.delete(host));
+      if (mayBeLate && !isLate) fullHosts.forEach((host) => tried.delete(host));
+      isLate = mayBeLate;
       const placement = targets.choose(service, tried, sizes.get(route.name) ?? 0);
       const endpoint = placement && targets.endpoint(placement.hostId);
       if (!placement || !endpoint) {
-        // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
         handle({ type: 'no-target' });
         return;
       }
-      hostId = placement.hostId;
-      tried.add(hostId);
-      attemptNumber += 1;
-      const number = attemptNumber;
-      targets.noteOpened(hostId);
-      const host = hostId;
-      let isClosed = false;
-      const close = (): void => {
-        if (!isClosed) targets.noteClosed(host);
-        isClosed = true;
-      };
-      closeAttempt = close;
-      const handler = createHandler(host, number, close);
+      const host = placement.hostId;
+      hostId = host;
+      tried.add(host);
+      targets.noteOpened(host);
+      const number = attempts.open(host, clock.monotonic());
+      const handler = createHandler(host, number);
       const request: types.Attempt = {
         callId: call.callId,
         service,
@@ -261,38 +250,41 @@
         isRepeatable: route.isRepeatable,
         mayBeLate,
         rank: call.isNested ? NESTED_RANK : route.rank,
-        objectiveAt: Math.min(limitAt, call.receivedAt + route.objectiveMs),
+        objectiveAt,
         deadlineAt: limitAt,
       };
       const opened =
-        hostId === settings.id
-          ? target.run(request, handler)
-          : peers.run(endpoint, request, handler);
-      if (number === attemptNumber && !machine.isOver()) attempt = opened;
+        host === settings.id ? target.run(request, handler) : peers.run(endpoint, request, handler);
+      attempts.bind(number, opened);
+      if (attempts.has(number)) watchOverdue();
     };
 
-    const perform = (effect: mesh.CallEffect): void => {
-      if (effect.type === 'send') send(effect.mayBeLate);
-      else if (effect.type === 'cancel') {
-        calls.noteAttempt(call, { hostId, result: 'cancelled', cause: 'no-answer-in-time' });
-        attempt?.cancel();
-        attempt = undefined;
-        closeAttempt();
-      } else if (effect.type === 'deliver') {
+    const performers: { [K in mesh.CallEffect['type']]: Performer<K> } = {
+      send: ({ mayBeLate }) => send(mayBeLate),
+      cancel() {
+        calls.noteAttempt(call, { hostId, result: 'cancelled', cause: 'not-needed' });
+        attempts.cancel(answering);
+      },
+      deliver() {
         finish('delivered', answer?.status ?? 0);
         if (answer) reply.deliver(answer);
-      } else if (effect.type === 'answer') {
-        finish(effect.outcome, effect.status);
-        reply.refuse(effect.status, effect.retryAfterMs);
-      } else reply.abort();
+      },
+      answer({ outcome, status, retryAfterMs }) {
+        finish(outcome, status);
+        reply.refuse(status, retryAfterMs);
+      },
+      abort: () => reply.abort(),
     };
 
-    const handle = (event: mesh.CallEvent): void => machine.handle(event).forEach(perform);
+    const perform = (effect: mesh.CallEffect): void =>
+      (performers[effect.type] as Performer<mesh.CallEffect['type']>)(effect);
+
+    const expire = (): void => {
+      const isUnsent = attempts.cancel(undefined);
+      handle({ type: 'timeout', isUnsent });
+    };
 
-    timer = setTimeout(
-      () => handle({ type: 'timeout', isUnsent: attempt?.cancel() ?? false }),
-      Math.max(0, limitAt - ANSWER_MARGIN_MS - clock.monotonic()),
-    );
+    timer = setTimeout(expire, Math.max(0, limitAt - ANSWER_MARGIN_MS - clock.monotonic()));
     handle({ type: 'start' });
     return () => {
       if (machine.isOver()) return;
--- a/packages/proxy/src/mesh/constants.ts
+++ b/packages/proxy/src/mesh/constants.ts
@@ -24,6 +24,8 @@
 export const SILENT_HOST_MS = 1_000;
 /** Refusals for lack of room after which a caller is turned away. */
 export const MAX_REFUSALS = 3;
+/** The same for a call that may be answered late. */
+export const MAX_LATE_REFUSALS = 3;
 /** Deadline of a call that names none, in milliseconds. */
 export const DEFAULT_DEADLINE_MS = 30_000;
 /** How often queues are checked for calls that can no longer be served. */
