--- a/packages/core/src/mesh/slot-queue.ts
+++ b/packages/core/src/mesh/slot-queue.ts
@@ -44,6 +44,11 @@
   offer(request: SlotRequest, now: number): SlotEffect[];
   /** Frees the slot of a call; `serviceMs` is undefined when it tells nothing about the target. */
   release(id: string, serviceMs: number | undefined, now: number): SlotEffect[];
+  /**
+   * Frees the slot of a call that was given up after `ranMs`; tells that the target is slow when
+   * that is longer than calls of its kind were expected to take.
+   */
+  abandon(id: string, ranMs: number, now: number): SlotEffect[];
   /** Takes a waiting call out, because its caller gave up; false when it does not wait. */
   cancel(id: string): boolean;
   setSlots(slots: number, now: number): SlotEffect[];
@@ -69,15 +74,15 @@
 export function createSlotQueue(initialSlots: number, options: SlotQueueOptions): SlotQueue {
   let slots = initialSlots;
   const times = estimates.createServiceEstimates(options.estimates);
-  /** Kinds of the calls that run, by id. */
-  const running = new Map<string, string>();
+  /** Calls that run, by id. */
+  const running = new Map<string, Pick<Waiting, 'kind' | 'priorMs'>>();
   let waiting: Waiting[] = [];
 
   const isTooLate = ({ kind, priorMs, deadlineAt }: Waiting, now: number): boolean =>
-    now + times.expectMs(kind, priorMs) > deadlineAt;
+    now + times.expectMs(kind, priorMs, now) > deadlineAt;
 
   const missesObjective = ({ kind, priorMs, objectiveAt }: Waiting, now: number): boolean =>
-    now + times.expectMs(kind, priorMs) > objectiveAt;
+    now + times.expectMs(kind, priorMs, now) > objectiveAt;
 
   const compare = (left: Waiting, right: Waiting, now: number): number =>
     Number(missesObjective(left, now)) - Number(missesObjective(right, now)) ||
@@ -103,12 +108,20 @@
     while (running.size < slots && waiting.length > 0) {
       const next = waiting.reduce((best, other) => (compare(other, best, now) < 0 ? other : best));
       waiting = waiting.filter((request) => request !== next);
-      running.set(next.id, next.kind);
+      running.set(next.id, next);
       effects.push({ type: 'run', id: next.id, waitedMs: now - next.since });
     }
     return effects;
   };
 
+  const release = (id: string, sampleMs: number | undefined, now: number): SlotEffect[] => {
+    const call = running.get(id);
+    if (!call) return [];
+    running.delete(id);
+    if (sampleMs !== undefined) times.note(call.kind, sampleMs, now);
+    return startNext(now);
+  };
+
   return {
     offer(request, now) {
       const priorMs = times.assumeMs(request.objectiveAt - now);
@@ -131,12 +144,12 @@
       }
       return effects;
     },
-    release(id, sampleMs, now) {
-      const kind = running.get(id);
-      if (kind === undefined) return [];
-      running.delete(id);
-      if (sampleMs !== undefined) times.note(kind, sampleMs);
-      return startNext(now);
+    release,
+    abandon(id, ranMs, now) {
+      const call = running.get(id);
+      if (!call) return [];
+      const isSlow = ranMs > times.expectMs(call.kind, call.priorMs, now);
+      return release(id, isSlow ? ranMs : undefined, now);
     },
     cancel(id) {
       const before = waiting.length;
--- a/packages/core/test/mesh-slot-queue.test.ts
+++ b/packages/core/test/mesh-slot-queue.test.ts
@@ -127,4 +127,28 @@
     ['a', 'b', 'c'].forEach((id) => queue.release(id, 560, 560));
     assert.equal(Math.round(queue.load().serviceMs), 560);
   });
+
+  it('refuses calls at a target that was found slow, and tries it again after a while', () => {
+    const queue = mesh.createSlotQueue(2, mesh.slotQueueDefaults);
+    const isRefused = (id: string, now: number): boolean => {
+      const times = { objectiveAt: now + 600, deadlineAt: now + 1_500 };
+      const effects = queue.offer(request(id, times), now);
+      return effects.some(({ type }) => type === 'refuse');
+    };
+    assert.equal(isRefused('slow', 0), false);
+    queue.abandon('slow', 1_600, 5);
+    assert.equal(isRefused('next', 10), true);
+    assert.equal(isRefused('later', 10 + 2 * mesh.slotQueueDefaults.estimates.halfLifeMs), false);
+  });
+
+  it('learns nothing from a call that was given up early', () => {
+    const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults);
+    for (let call = 0; call < 5; call += 1) {
+      queue.offer(request(`c${call}`), 0);
+      queue.release(`c${call}`, 200, 0);
+    }
+    queue.offer(request('left'), 0);
+    queue.abandon('left', 20, 0);
+    assert.equal(queue.load().serviceMs, 200);
+  });
 });
--- a/packages/proxy/src/mesh/target-port.ts
+++ b/packages/proxy/src/mesh/target-port.ts
@@ -96,6 +96,12 @@
     perform(queue.release(key, serviceMs, clock.monotonic()));
   };
 
+  /** Frees the slot of a call that was given up at the target. */
+  const abandon = (key: string, { sentAt }: Open): void => {
+    const now = clock.monotonic();
+    perform(queue.abandon(key, now - sentAt, now));
+  };
+
   const finishBroken = (key: string, cause: string): void => {
     const entry = open.get(key);
     if (!entry) return;
@@ -104,7 +110,7 @@
     metrics.count('attempts_broken_total');
     log.warn('attempt-broken', { call: entry.attempt.callId, cause, target: entry.instance });
     entry.handler.onBroken(cause);
-    release(key);
+    abandon(key, entry);
   };
 
   const finishRefused = (key: string, reason: mesh.RefusalReason): void => {
@@ -258,7 +264,7 @@
     if (!entry.attempt.isRepeatable) return false;
     open.delete(key);
     entry.request.destroy();
-    release(key);
+    abandon(key, entry);
     return false;
   };
 
