Membership: tell a restarted process of its former life when its clock went back

Cause: incarnations begin with the wall clock. A process that restarts after the clock of its host was set back announces a lower one; others pass it over and, as the old record says alive, nobody told it. The new test fails before: the record of the former life stays for good.

--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -227,13 +227,19 @@
     return [];
   };
 
-  const chooseAckMembers = (receiver: string, isContact: boolean): types.Member[] => {
+  const chooseAckMembers = (ping: {
+    from: string;
+    isContact: boolean;
+    members: types.Member[];
+  }) => {
+    const { from: receiver, isContact } = ping;
     const known = members.get(receiver);
-    // Whoever is wrongly held dead must hear of it, or it cannot refute it.
-    const first = [
-      ...(isContact ? [self] : []),
-      ...(known && known.status !== 'alive' ? [known] : []),
-    ];
+    const told = ping.members.find(({ id }) => id === receiver);
+    // Whoever is wrongly held dead must hear of it, or it cannot refute it; so must one whose
+    // record is passed over for that of a former life, since its clock was set back.
+    const mustHear =
+      known && (known.status !== 'alive' || (told && told.incarnation < known.incarnation));
+    const first = [...(isContact ? [self] : []), ...(mustHear ? [known] : [])];
     const firstIds = first.map(({ id }) => id);
     return [...first, ...takeUpdates(receiver).filter(({ id }) => !firstIds.includes(id))];
   };
@@ -254,7 +260,7 @@
           sequence: message.sequence,
           from: self.id,
           mark,
-          members: chooseAckMembers(message.from, message.isContact),
+          members: chooseAckMembers(message),
         },
       },
     ],
--- a/packages/core/test/membership.test.ts
+++ b/packages/core/test/membership.test.ts
@@ -177,6 +177,31 @@
     assert.deepEqual(Object.keys(effect.message.mark).sort(), ['digest', 'position', 'version']);
   });
 
+  it('tells a process that started with a lower incarnation what is known of its former life', () => {
+    const options = core.membershipDefaults;
+    const create = (id: string, incarnation: number): core.Membership =>
+      core.createMembership({
+        id,
+        incarnation,
+        info: { ...createInfo(0), instance: `${id}|${incarnation}` },
+        options,
+        random: support.createRandom(1),
+      });
+    const endpoint = { address: '127.0.0.1', port: 1 };
+    const observer = create('m0', 1);
+    observer.merge([create('m1', 9_000).self()], 0);
+    // The clock of its host was set back before the restart.
+    const restarted = create('m1', 7_000);
+    const pass = (effects: core.MembershipEffect[], to: core.Membership): core.MembershipEffect[] =>
+      effects.flatMap((effect) =>
+        effect.type === 'send' ? to.receive(effect.message, endpoint, 10) : [],
+      );
+    pass(pass(restarted.contact(endpoint), observer), restarted);
+    assert.ok(restarted.self().incarnation > 9_000);
+    pass(restarted.contact(endpoint), observer);
+    assert.equal(observer.get('m1')?.info.instance, 'm1|7000');
+  });
+
   it('lets a higher incarnation and then the worse status win', () => {
     const member = { id: 'm', incarnation: 2, status: 'alive' as const, info: createInfo(0) };
     assert.ok(core.isNewer({ ...member, incarnation: 3 }, { ...member, status: 'dead' }));
