--- a/packages/core/src/mesh/placement.ts
+++ b/packages/core/src/mesh/placement.ts
@@ -67,18 +67,27 @@
  * Computes the time until an answer of a candidate is expected, in milliseconds.
  *
  * @example
- * computeExpectedMs(candidate, { meanServiceMs: 120, answerKilobytes: 5 }, placementDefaults);
+ * const call = { meanServiceMs: 120, answerKilobytes: 5, mayBeLate: false };
+ * computeExpectedMs(candidate, call, placementDefaults);
  */
 export function computeExpectedMs(
   candidate: PlacementCandidate,
-  call: { meanServiceMs: number; answerKilobytes: number },
+  call: { meanServiceMs: number; answerKilobytes: number; mayBeLate: boolean },
   options: PlacementOptions,
 ): number {
-  const { meanServiceMs, answerKilobytes } = call;
+  const { meanServiceMs, answerKilobytes, mayBeLate } = call;
   const weight = candidate.load ? 0.5 ** (candidate.loadAgeMs / options.loadHalfLifeMs) : 0;
-  const known = candidate.load ?? { running: 0, waiting: 0, serviceMs: 0, failureShare: 0 };
+  const known = candidate.load ?? {
+    running: 0,
+    waiting: 0,
+    late: 0,
+    serviceMs: 0,
+    failureShare: 0,
+  };
   const serviceMs = known.serviceMs * weight + meanServiceMs * (1 - weight);
-  const open = Math.max((known.running + known.waiting) * weight, candidate.openCalls);
+  // Calls that are late already wait behind one that is not.
+  const ahead = known.running + known.waiting + (mayBeLate ? known.late : 0);
+  const open = Math.max(ahead * weight, candidate.openCalls);
   const slots = Math.max(1, candidate.slots);
   const waitMs = Math.max(0, (open + 1 - slots) / slots) * serviceMs;
   // A target slows down as it fills, so its share in use counts before it is full.
@@ -95,12 +104,13 @@
  * Chooses the candidate with the earliest expected completion.
  *
  * @example
- * choosePlacement(candidates, new Set(['10.0.0.7']), 5, placementDefaults, random)?.hostId;
+ * const call = { answerKilobytes: 5, mayBeLate: false };
+ * choosePlacement(candidates, new Set(['10.0.0.7']), call, placementDefaults, random)?.hostId;
  */
 export function choosePlacement(
   candidates: readonly PlacementCandidate[],
   tried: ReadonlySet<string>,
-  answerKilobytes: number,
+  call: { answerKilobytes: number; mayBeLate: boolean },
   options: PlacementOptions,
   random: clock.Random,
 ): Placement | undefined {
@@ -112,15 +122,15 @@
     samples.length > 0
       ? samples.reduce((sum, value) => sum + value, 0) / samples.length
       : options.initialServiceMs;
-  const call = { meanServiceMs, answerKilobytes };
+  const described = { meanServiceMs, ...call };
   const unknown = open.filter(({ load, openCalls }) => !load && openCalls === 0);
   const explored = unknown[Math.floor(random() * unknown.length)];
   if (explored && unknown.length < open.length && random() < options.explorationShare) {
-    const expectedMs = computeExpectedMs(explored, call, options);
+    const expectedMs = computeExpectedMs(explored, described, options);
     return { hostId: explored.hostId, expectedMs, candidates: open.length };
   }
   return open.reduce<Placement | undefined>((best, candidate) => {
-    const estimate = computeExpectedMs(candidate, call, options);
+    const estimate = computeExpectedMs(candidate, described, options);
     const expectedMs = estimate * (1 + options.noise * random());
     if (best && best.expectedMs <= expectedMs) return best;
     return { hostId: candidate.hostId, expectedMs, candidates: open.length };
--- a/packages/core/src/mesh/slot-queue.ts
+++ b/packages/core/src/mesh/slot-queue.ts
@@ -7,6 +7,7 @@
  * back as a late call: it waits behind all others, and only while its deadline can be met.
  */
 import * as estimates from './service-estimates.js';
+import type * as types from './types.js';
 
 /** A call that asks for a slot. */
 export interface SlotRequest {
@@ -56,7 +57,7 @@
   drain(): string[];
   /** Refuses what can no longer be served. */
   tick(now: number): SlotEffect[];
-  load(): { running: number; waiting: number; slots: number; serviceMs: number };
+  load(now: number): Omit<types.TargetLoad, 'failureShare'>;
 }
 
 interface Waiting extends SlotRequest {
@@ -166,11 +167,15 @@
       return ids;
     },
     tick: removeLate,
-    load: () => ({
-      running: running.size,
-      waiting: waiting.length,
-      slots,
-      serviceMs: times.meanMs(),
-    }),
+    load(now) {
+      const late = waiting.filter((request) => missesObjective(request, now)).length;
+      return {
+        running: running.size,
+        waiting: waiting.length - late,
+        late,
+        slots,
+        serviceMs: times.meanMs(),
+      };
+    },
   };
 }
--- a/packages/core/src/mesh/types.ts
+++ b/packages/core/src/mesh/types.ts
@@ -63,7 +63,10 @@
 /** What the proxy beside a target says about it, with each answer. */
 export interface TargetLoad {
   running: number;
+  /** Calls that wait and can still meet their objective. */
   waiting: number;
+  /** Calls that wait behind those, and are answered late if at all. */
+  late: number;
   slots: number;
   /** Moving mean of the time that the target takes for a call, in milliseconds. */
   serviceMs: number;
--- a/packages/core/test/mesh-placement.test.ts
+++ b/packages/core/test/mesh-placement.test.ts
@@ -33,7 +33,7 @@
   reach: 'data-centre',
   slots: 10,
   openCalls: 0,
-  load: { running: 0, waiting: 0, slots: 10, serviceMs: 100, failureShare: 0 },
+  load: { running: 0, waiting: 0, late: 0, slots: 10, serviceMs: 100, failureShare: 0 },
   loadAgeMs: 0,
   isCold: false,
   ...over,
@@ -42,6 +42,7 @@
 const load = (over: Partial<mesh.TargetLoad>): mesh.TargetLoad => ({
   running: 0,
   waiting: 0,
+  late: 0,
   slots: 10,
   serviceMs: 100,
   failureShare: 0,
@@ -68,7 +69,7 @@
     const choice = mesh.choosePlacement(
       candidates,
       new Set(),
-      kilobytes,
+      { answerKilobytes: kilobytes, mayBeLate: false },
       mesh.placementDefaults,
       random,
     );
@@ -180,10 +181,27 @@
     const choice = mesh.choosePlacement(
       [candidate('a'), candidate('b')],
       new Set(['a']),
-      0,
+      { answerKilobytes: 0, mayBeLate: false },
       mesh.placementDefaults,
       createSequence(),
     );
     assert.equal(choice?.hostId, 'b');
   });
+
+  it('looks past calls that are late already, unless the call is late itself', () => {
+    const behind = load({ running: 10, late: 30 });
+    const candidates = [candidate('near', { load: behind }), candidate('far', { reach: 'region' })];
+    const choose = (mayBeLate: boolean) =>
+      mesh.choosePlacement(
+        candidates.map((item) =>
+          item.hostId === 'far' ? { ...item, load: load({ running: 10, waiting: 10 }) } : item,
+        ),
+        new Set(),
+        { answerKilobytes: 0, mayBeLate },
+        mesh.placementDefaults,
+        createSequence(),
+      )?.hostId;
+    assert.equal(choose(false), 'near');
+    assert.equal(choose(true), 'far');
+  });
 });
--- a/packages/core/test/mesh-slot-queue.test.ts
+++ b/packages/core/test/mesh-slot-queue.test.ts
@@ -75,8 +75,9 @@
             slots = item.slots;
             take(queue.setSlots(slots, now));
           } else take(queue.tick(now));
-          assert.equal(queue.load().running, running.length);
-          assert.equal(queue.load().waiting, waiting.size);
+          const load = queue.load(now);
+          assert.equal(load.running, running.length);
+          assert.equal(load.waiting + load.late, waiting.size);
         });
       }),
     );
@@ -125,7 +126,7 @@
     const queue = mesh.createSlotQueue(4, mesh.slotQueueDefaults);
     ['a', 'b', 'c'].forEach((id) => queue.offer(request(id), 0));
     ['a', 'b', 'c'].forEach((id) => queue.release(id, 560, 560));
-    assert.equal(Math.round(queue.load().serviceMs), 560);
+    assert.equal(Math.round(queue.load(0).serviceMs), 560);
   });
 
   it('refuses calls at a target that was found slow, and tries it again after a while', () => {
@@ -149,6 +150,6 @@
     }
     queue.offer(request('left'), 0);
     queue.abandon('left', 20, 0);
-    assert.equal(queue.load().serviceMs, 200);
+    assert.equal(queue.load(0).serviceMs, 200);
   });
 });
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -228,7 +228,10 @@
       // Hosts that had no room in time are asked once more, for room before the deadline.
       if (mayBeLate && !isLate) fullHosts.forEach((host) => tried.delete(host));
       isLate = mayBeLate;
-      const placement = targets.choose(service, tried, sizes.get(route.name) ?? 0);
+      const placement = targets.choose(service, tried, {
+        answerKilobytes: sizes.get(route.name) ?? 0,
+        mayBeLate,
+      });
       const endpoint = placement && targets.endpoint(placement.hostId);
       if (!placement || !endpoint) {
         handle({ type: 'no-target' });
--- a/packages/proxy/src/mesh/headers.ts
+++ b/packages/proxy/src/mesh/headers.ts
@@ -87,18 +87,19 @@
 
 /** Formats the load of a target as a header. */
 export function formatLoad(load: mesh.TargetLoad): string[] {
-  const { running, waiting, slots, serviceMs, failureShare } = load;
-  return [LOAD, [running, waiting, slots, serviceMs.toFixed(1), failureShare.toFixed(3)].join(';')];
+  const { running, waiting, late, slots, serviceMs, failureShare } = load;
+  const values = [running, waiting, late, slots, serviceMs.toFixed(1), failureShare.toFixed(3)];
+  return [LOAD, values.join(';')];
 }
 
 /** Reads the load of a target; undefined when the header is missing or unreadable. */
 export function readLoad(headers: NodeJS.Dict<string | string[]>): mesh.TargetLoad | undefined {
-  const [running, waiting, slots, serviceMs, failureShare] = String(headers[LOAD] ?? '')
+  const values = String(headers[LOAD] ?? '')
     .split(';')
     .map(Number);
-  const values = [running, waiting, slots, serviceMs, failureShare];
-  if (!values.every((value) => value !== undefined && Number.isFinite(value))) return undefined;
-  return { running, waiting, slots, serviceMs, failureShare } as mesh.TargetLoad;
+  const [running, waiting, late, slots, serviceMs, failureShare] = values;
+  if (failureShare === undefined || !values.every(Number.isFinite)) return undefined;
+  return { running, waiting, late, slots, serviceMs, failureShare } as mesh.TargetLoad;
 }
 
 /** Formats a refusal as a header. */
--- a/packages/proxy/src/mesh/target-port.ts
+++ b/packages/proxy/src/mesh/target-port.ts
@@ -79,7 +79,7 @@
       call: entry.attempt.callId,
       reason,
       target: gate.current()?.id,
-      ...queue.load(),
+      ...queue.load(clock.monotonic()),
     });
     entry.handler.onRefused(reason, retryAfterMs);
   };
@@ -311,7 +311,7 @@
       return noteVerdict(verdict, announcement.id, announcement.state);
     },
     deregister: (id, bornAt) => noteVerdict(gate.deregister(id, bornAt), id, 'deregistered'),
-    load: () => ({ ...queue.load(), failureShare }),
+    load: () => ({ ...queue.load(clock.monotonic()), failureShare }),
     current: () => gate.current(),
     isCold,
     openAttempts: () => open.size,
--- a/packages/proxy/src/mesh/targets.ts
+++ b/packages/proxy/src/mesh/targets.ts
@@ -10,7 +10,7 @@
   choose(
     service: string,
     tried: ReadonlySet<string>,
-    answerKilobytes: number,
+    call: { answerKilobytes: number; mayBeLate: boolean },
   ): mesh.Placement | undefined;
   noteLoad(hostId: string, load: mesh.TargetLoad): void;
   noteOpened(hostId: string): void;
@@ -76,7 +76,7 @@
         circuit: isSameProcess ? known.circuit : core.createCircuit(circuitOptions),
       });
     },
-    choose(service, tried, answerKilobytes) {
+    choose(service, tried, call) {
       const now = clock.monotonic();
       const callable = listCallable(service);
       const open = callable.filter(({ circuit }) => circuit.mayCall(now));
@@ -91,7 +91,7 @@
           isCold: entry.member.info.target?.isCold === true,
         })),
         tried,
-        answerKilobytes,
+        call,
         mesh.placementDefaults,
         random,
       );
