--- a/packages/core/src/mesh/index.ts
+++ b/packages/core/src/mesh/index.ts
@@ -12,6 +12,12 @@
   type CallMachine,
   type CallPolicy,
 } from './call-machine.js';
+export {
+  createLinkPacer,
+  linkPacerDefaults,
+  type LinkPacer,
+  type LinkPacerOptions,
+} from './link-pacer.js';
 export {
   createPatienceEstimate,
   patienceDefaults,
@@ -32,6 +38,7 @@
   createSlotQueue,
   slotQueueDefaults,
   type SlotEffect,
+  type SlotLoad,
   type SlotQueue,
   type SlotQueueOptions,
   type SlotRequest,
--- a/packages/core/src/mesh/placement.ts
+++ b/packages/core/src/mesh/placement.ts
@@ -56,6 +56,20 @@
   noise: 0.2,
 };
 
+const unknownLoad: types.TargetLoad = {
+  running: 0,
+  waiting: 0,
+  late: 0,
+  slots: 0,
+  serviceMs: 0,
+  failureShare: 0,
+  backlogMs: 0,
+  kilobyteMs: 0,
+};
+
+/** Answers from this size on wait for the link, in kilobytes. */
+const LARGE_KILOBYTES = 16;
+
 /** The choice and what it was based on. */
 export interface Placement {
   hostId: string;
@@ -77,13 +91,7 @@
 ): number {
   const { meanServiceMs, answerKilobytes, mayBeLate } = call;
   const weight = candidate.load ? 0.5 ** (candidate.loadAgeMs / options.loadHalfLifeMs) : 0;
-  const known = candidate.load ?? {
-    running: 0,
-    waiting: 0,
-    late: 0,
-    serviceMs: 0,
-    failureShare: 0,
-  };
+  const known = candidate.load ?? unknownLoad;
   const serviceMs = known.serviceMs * weight + meanServiceMs * (1 - weight);
   // Calls that are late already wait behind one that is not.
   const ahead = known.running + known.waiting + (mayBeLate ? known.late : 0);
@@ -97,7 +105,10 @@
   const reachMs =
     options.reachCostMs[candidate.reach] +
     options.kilobyteCostMs[candidate.reach] * answerKilobytes;
-  return reachMs + serviceMs + waitMs + crowdMs + coldMs + failureMs;
+  const backlogMs = answerKilobytes >= LARGE_KILOBYTES ? known.backlogMs * weight : 0;
+  const linkMs =
+    candidate.reach === 'own-host' ? 0 : backlogMs + known.kilobyteMs * answerKilobytes;
+  return reachMs + linkMs + serviceMs + waitMs + crowdMs + coldMs + failureMs;
 }
 
 /**
--- a/packages/core/src/mesh/slot-queue.ts
+++ b/packages/core/src/mesh/slot-queue.ts
@@ -40,6 +40,12 @@
   maxWaitingPerSlot: 8,
 };
 
+/** Calls of one target and how fast it is. */
+export type SlotLoad = Pick<
+  types.TargetLoad,
+  'running' | 'waiting' | 'late' | 'slots' | 'serviceMs'
+>;
+
 /** The admission part of one target. */
 export interface SlotQueue {
   offer(request: SlotRequest, now: number): SlotEffect[];
@@ -57,7 +63,8 @@
   drain(): string[];
   /** Refuses what can no longer be served. */
   tick(now: number): SlotEffect[];
-  load(now: number): Omit<types.TargetLoad, 'failureShare'>;
+  hasWaiting(): boolean;
+  load(now: number): SlotLoad;
 }
 
 interface Waiting extends SlotRequest {
@@ -167,6 +174,7 @@
       return ids;
     },
     tick: removeLate,
+    hasWaiting: () => waiting.length > 0,
     load(now) {
       const late = waiting.filter((request) => missesObjective(request, now)).length;
       return {
--- a/packages/core/src/mesh/types.ts
+++ b/packages/core/src/mesh/types.ts
@@ -72,4 +72,8 @@
   serviceMs: number;
   /** Moving share of calls that failed at the target, 0 to 1. */
   failureShare: number;
+  /** Time until the large answers that wait for the link of its host have left, in milliseconds. */
+  backlogMs: number;
+  /** Time of one kilobyte on that link, in milliseconds. */
+  kilobyteMs: number;
 }
--- a/packages/core/test/mesh-placement.test.ts
+++ b/packages/core/test/mesh-placement.test.ts
@@ -25,6 +25,18 @@
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 });
 
+const load = (over: Partial<mesh.TargetLoad>): mesh.TargetLoad => ({
+  running: 0,
+  waiting: 0,
+  late: 0,
+  slots: 10,
+  serviceMs: 100,
+  failureShare: 0,
+  backlogMs: 0,
+  kilobyteMs: 0,
+  ...over,
+});
+
 const candidate = (
   hostId: string,
   over: Partial<mesh.PlacementCandidate> = {},
@@ -33,22 +45,12 @@
   reach: 'data-centre',
   slots: 10,
   openCalls: 0,
-  load: { running: 0, waiting: 0, late: 0, slots: 10, serviceMs: 100, failureShare: 0 },
+  load: load({}),
   loadAgeMs: 0,
   isCold: false,
   ...over,
 });
 
-const load = (over: Partial<mesh.TargetLoad>): mesh.TargetLoad => ({
-  running: 0,
-  waiting: 0,
-  late: 0,
-  slots: 10,
-  serviceMs: 100,
-  failureShare: 0,
-  ...over,
-});
-
 /** A plain sequence of numbers in [0, 1), enough to spread choices in a test. */
 const createSequence = (): (() => number) => {
   let value = 0.1;
@@ -204,4 +206,14 @@
     assert.equal(choose(false), 'near');
     assert.equal(choose(true), 'far');
   });
+
+  it('takes a large answer from a host whose narrow link is free', () => {
+    const narrow = { kilobyteMs: 2 };
+    const candidates = [
+      candidate('busy-link', { load: load({ ...narrow, backlogMs: 900 }) }),
+      candidate('free-link', { load: load({ ...narrow, running: 5 }), reach: 'region' }),
+    ];
+    assert.equal(countChoices(candidates, 100, 90).get('free-link'), 100);
+    assert.equal(countChoices(candidates, 100, 1).get('busy-link'), 100);
+  });
 });
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -260,7 +260,9 @@
         deadlineAt: limitAt,
       };
       const opened =
-        host === settings.id ? target.run(request, handler) : peers.run(endpoint, request, handler);
+        host === settings.id
+          ? target.run(request, handler, 0)
+          : peers.run(endpoint, request, handler);
       attempts.bind(number, opened);
       if (attempts.has(number)) watchOverdue();
     };
--- a/packages/proxy/src/mesh/headers.ts
+++ b/packages/proxy/src/mesh/headers.ts
@@ -85,21 +85,32 @@
   }
 }
 
+/** Fields of a load in the order in which they travel, with the digits after their point. */
+const loadFields: readonly [keyof mesh.TargetLoad, number][] = [
+  ['running', 0],
+  ['waiting', 0],
+  ['late', 0],
+  ['slots', 0],
+  ['serviceMs', 1],
+  ['failureShare', 3],
+  ['backlogMs', 0],
+  ['kilobyteMs', 3],
+];
+
 /** Formats the load of a target as a header. */
 export function formatLoad(load: mesh.TargetLoad): string[] {
-  const { running, waiting, late, slots, serviceMs, failureShare } = load;
-  const values = [running, waiting, late, slots, serviceMs.toFixed(1), failureShare.toFixed(3)];
-  return [LOAD, values.join(';')];
+  return [LOAD, loadFields.map(([name, digits]) => load[name].toFixed(digits)).join(';')];
 }
 
 /** Reads the load of a target; undefined when the header is missing or unreadable. */
 export function readLoad(headers: NodeJS.Dict<string | string[]>): mesh.TargetLoad | undefined {
-  const values = String(headers[LOAD] ?? '')
-    .split(';')
-    .map(Number);
-  const [running, waiting, late, slots, serviceMs, failureShare] = values;
-  if (failureShare === undefined || !values.every(Number.isFinite)) return undefined;
-  return { running, waiting, late, slots, serviceMs, failureShare } as mesh.TargetLoad;
+  const header = headers[LOAD];
+  if (typeof header !== 'string') return undefined;
+  const values = header.split(';').map(Number);
+  if (values.length < loadFields.length || !values.every(Number.isFinite)) return undefined;
+  return Object.fromEntries(
+    loadFields.map(([name], index) => [name, values[index]]),
+  ) as unknown as mesh.TargetLoad;
 }
 
 /** Formats a refusal as a header. */
--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -2,9 +2,10 @@
 import * as http from 'node:http';
 import * as util from 'node:util';
 import * as zlib from 'node:zlib';
-import type * as mesh from '@figshed/core/mesh';
+import * as mesh from '@figshed/core/mesh';
 import * as answerModule from './answer.js';
 import * as bodies from './bodies.js';
+import * as callAttempts from './call-attempts.js';
 import * as constants from './constants.js';
 import type * as contextModule from './context.js';
 import * as headersModule from './headers.js';
@@ -41,7 +42,11 @@
  */
 export function createPeerServer(input: PeerServerInput): http.Server {
   const { ctx, target, getConfig, isStopping, held } = input;
-  const { clock } = ctx;
+  const { clock, settings } = ctx;
+  const pacer = mesh.createLinkPacer({
+    ...mesh.linkPacerDefaults,
+    linkMbps: settings.linkMbps,
+  });
 
   /** The answer to peers, which all ask for one version at once. */
   let compressed: { version: number; bytes: Promise<Buffer> } | undefined;
@@ -68,36 +73,79 @@
     }
   };
 
+  const formatLoad = (): string[] =>
+    headersModule.formatLoad({
+      ...target.load(),
+      backlogMs: pacer.backlogMs(clock.monotonic()),
+      kilobyteMs: pacer.kilobyteMs,
+    });
+
   const end = (response: http.ServerResponse, status: number, headers: string[]): void => {
     if (response.headersSent || response.destroyed) return;
-    response.writeHead(status, [
-      ...headers,
-      ...headersModule.formatLoad(target.load()),
-      'Content-Length',
-      '0',
-    ]);
+    response.writeHead(status, [...headers, ...formatLoad(), 'Content-Length', '0']);
     response.end();
   };
 
+  /** Writes an answer while it arrives. */
+  const passOn = (answer: answerModule.Answer, response: http.ServerResponse): void => {
+    const length = answer.message.headers['content-length'];
+    response.writeHead(answer.status, [
+      ...answer.headers,
+      ...formatLoad(),
+      ...(length === undefined ? [] : ['Content-Length', length]),
+    ]);
+    answerModule.passOn(answer, response, () => undefined);
+  };
+
+  /** Takes a large answer from the target at once, and writes it when the link is free for it. */
+  const passOnPaced = (
+    answer: answerModule.Answer,
+    response: http.ServerResponse,
+    delayMs: number,
+  ): void => {
+    const write = (whole: callAttempts.WholeAnswer): void => {
+      if (response.destroyed) return;
+      const length = String(whole.body.length);
+      response.writeHead(whole.status, [
+        ...whole.headers,
+        ...formatLoad(),
+        'Content-Length',
+        length,
+      ]);
+      response.end(whole.body);
+    };
+    callAttempts.gatherAnswer(answer, held, {
+      onLarge(chunks) {
+        response.writeHead(answer.status, [...answer.headers, ...formatLoad()]);
+        chunks.forEach((chunk) => response.write(chunk));
+        answerModule.passOn(answer, response, () => undefined);
+      },
+      onPassed: () => undefined,
+      onWhole: (whole) => setTimeout(write, delayMs, whole),
+      onCut: () => response.destroy(),
+    });
+  };
+
   const createHandler = (
     request: http.IncomingMessage,
     response: http.ServerResponse,
+    route: string,
     takeBody: () => Promise<Buffer | undefined>,
   ): types.AttemptHandler => ({
     takeBody,
     onHead(answer) {
-      const { status, headers, message } = answer;
+      const { message } = answer;
       if (response.destroyed) {
         message.destroy();
         return;
       }
-      const length = message.headers['content-length'];
-      response.writeHead(status, [
-        ...headers,
-        ...headersModule.formatLoad(target.load()),
-        ...(length === undefined ? [] : ['Content-Length', length]),
-      ]);
-      answerModule.passOn(answer, response, () => undefined);
+      const length = Number(message.headers['content-length'] ?? 0);
+      if (pacer.isLarge(length)) {
+        passOnPaced(answer, response, pacer.reserve(route, length, clock.monotonic()));
+        return;
+      }
+      pacer.noteSmall(route, length);
+      passOn(answer, response);
     },
     onRefused(reason, retryAfterMs) {
       end(response, constants.HTTP.unavailable, headersModule.formatRefusal(reason, retryAfterMs));
@@ -161,7 +209,8 @@
         objectiveAt: now + facts.objectiveMs,
         deadlineAt: now + facts.deadlineMs,
       },
-      createHandler(request, response, takeBody),
+      createHandler(request, response, facts.route, takeBody),
+      pacer.expectMs(facts.route, now),
     );
     response.once('close', () => {
       if (response.writableFinished) return;
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -151,7 +151,6 @@
   return {
     async start() {
       log.info('start', { service: settings.service, dataCentre: settings.dataCentre });
-      target.start();
       await new Promise<void>((resolve, reject) => {
         peerHttp.once('error', reject).listen(settings.peerPort, settings.address, resolve);
       });
--- a/packages/proxy/src/mesh/settings.ts
+++ b/packages/proxy/src/mesh/settings.ts
@@ -6,9 +6,9 @@
 const DEFAULT_GRACE_MS = 6_000;
 /** Time in which a change is in force everywhere when the settings give no other, in milliseconds. */
 const DEFAULT_APPLY_WITHIN_MS = 2_000;
+const DEFAULT_LINK_MBPS = 1_000;
 const DEFAULT_RETRY_RATIO = 0.2;
 const DEFAULT_RETRY_RESERVE = 56;
-const DEFAULT_RETRY_WINDOW_MS = 10_000;
 
 const endpoint = z
   .string()
@@ -40,6 +40,8 @@
   target: endpoint,
   /** Calls and configurations by TCP, gossip by UDP. */
   peerPort: port,
+  /** Rate of the link of this host, in megabits a second. */
+  linkMbps: z.number().positive().default(DEFAULT_LINK_MBPS),
   metricsPort: port,
   /** Longest time from SIGTERM to the end of the process, in milliseconds. */
   graceMs: durationMs.default(DEFAULT_GRACE_MS),
@@ -50,7 +52,6 @@
     .object({
       ratio: z.number().nonnegative().default(DEFAULT_RETRY_RATIO),
       reserve: z.number().nonnegative().default(DEFAULT_RETRY_RESERVE),
-      windowMs: durationMs.default(DEFAULT_RETRY_WINDOW_MS),
     })
     .prefault({}),
   log: z
--- a/packages/proxy/src/mesh/target-port.ts
+++ b/packages/proxy/src/mesh/target-port.ts
@@ -11,16 +11,16 @@
 
 /** The proxy's side of the target beside it. */
 export interface TargetPort {
-  run(attempt: types.Attempt, handler: types.AttemptHandler): types.OpenAttempt;
+  /** `deliveryMs` is what the answer's way to the caller is expected to take. */
+  run(attempt: types.Attempt, handler: types.AttemptHandler, deliveryMs: number): types.OpenAttempt;
   announce(announcement: mesh.TargetAnnouncement): mesh.GateVerdict;
   deregister(id: string, bornAt: number | undefined): mesh.GateVerdict;
-  load(): mesh.TargetLoad;
+  load(): mesh.SlotLoad & Pick<mesh.TargetLoad, 'failureShare'>;
   current(): mesh.OpenTarget | undefined;
   isCold(): boolean;
   openAttempts(): number;
   /** Tells whether the target runs the call that made this one, whose id then extends the other. */
   runsParentOf(callId: string): boolean;
-  start(): void;
   stop(): void;
 }
 
@@ -94,6 +94,14 @@
       if (effect.type === 'run') begin(effect.id, effect.waitedMs);
       else refuse(effect.id, effect.reason, effect.retryAfterMs);
     });
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
+    if (queue.hasWaiting()) timer ??= setTimeout(tick, constants.QUEUE_TICK_MS);
+  };
+
+  /** Refuses calls that can no longer be served; runs only while calls wait. */
+  const tick = (): void => {
+    timer = undefined;
+    perform(queue.tick(clock.monotonic()));
   };
 
   const release = (key: string, serviceMs?: number): void => {
@@ -281,7 +289,7 @@
   };
 
   return {
-    run(attempt, handler) {
+    run(attempt, handler, deliveryMs) {
       nextKey += 1;
       const key = `${attempt.callId}|${nextKey}`;
       const now = clock.monotonic();
@@ -297,7 +305,9 @@
       if (!target) refuse(key, gate.closedBecause());
       else if (target.service !== attempt.service) refuse(key, 'wrong-instance');
       else {
-        const { route, rank, mayBeLate, objectiveAt, deadlineAt } = attempt;
+        const { route, rank, mayBeLate } = attempt;
+        const objectiveAt = attempt.objectiveAt - deliveryMs;
+        const deadlineAt = attempt.deadlineAt - deliveryMs;
         const request = { id: key, kind: route, rank, mayBeLate, objectiveAt, deadlineAt };
         perform(queue.offer(request, now));
       }
@@ -326,11 +336,8 @@
           callId.startsWith(attempt.callId) &&
           NO_ID_CHARACTER.test(callId.charAt(attempt.callId.length)),
       ),
-    start() {
-      timer = setInterval(() => perform(queue.tick(clock.monotonic())), constants.QUEUE_TICK_MS);
-    },
     stop() {
-      clearInterval(timer);
+      clearTimeout(timer);
       agent.destroy();
     },
   };
