--- a/packages/core/src/mesh/call-machine.ts
+++ b/packages/core/src/mesh/call-machine.ts
@@ -158,7 +158,8 @@
       return mayRepeat() ? send() : turnAway();
     },
     overdue() {
-      const mayHedge = policy.isRepeatable && !isStreaming && !isHedged && open === 1;
+      // A late call waits for room; a second one in another queue would only take room from others.
+      const mayHedge = policy.isRepeatable && !isLate && !isStreaming && !isHedged && open === 1;
       if (!mayHedge || ran + open >= policy.maxAttempts || !policy.takeRetry()) return [];
       isHedged = true;
       return send();
--- a/packages/core/src/mesh/index.ts
+++ b/packages/core/src/mesh/index.ts
@@ -27,6 +27,7 @@
 export {
   choosePlacement,
   computeExpectedMs,
+  hasFreeSlot,
   placementDefaults,
   type Placement,
   type PlacementCandidate,
--- a/packages/core/src/mesh/placement.ts
+++ b/packages/core/src/mesh/placement.ts
@@ -111,6 +111,18 @@
   return reachMs + linkMs + serviceMs + waitMs + crowdMs + coldMs + failureMs;
 }
 
+/**
+ * Tells whether a candidate is known to have had a free slot lately.
+ *
+ * @example
+ * candidates.some((candidate) => hasFreeSlot(candidate, placementDefaults));
+ */
+export function hasFreeSlot(candidate: PlacementCandidate, options: PlacementOptions): boolean {
+  const { load, loadAgeMs, slots, openCalls } = candidate;
+  if (!load || loadAgeMs > options.loadHalfLifeMs) return false;
+  return Math.max(load.running + load.waiting + load.late, openCalls) < slots;
+}
+
 /**
  * Chooses the candidate with the earliest expected completion.
  *
--- a/packages/core/test/mesh-call-machine.test.ts
+++ b/packages/core/test/mesh-call-machine.test.ts
@@ -163,8 +163,12 @@
     ]);
   });
 
-  it('sends no overdue call again that must run once, or for which the budget has nothing', () => {
-    [policy({ isRepeatable: false }), policy({ takeRetry: () => false })].forEach((item) => {
+  it('sends no overdue call again that must run once, is late, or for which the budget has nothing', () => {
+    [
+      policy({ isRepeatable: false }),
+      policy({ takeRetry: () => false }),
+      policy({ startsLate: true }),
+    ].forEach((item) => {
       const machine = mesh.createCallMachine(item);
       machine.handle({ type: 'start' });
       assert.deepEqual(machine.handle({ type: 'overdue' }), []);
--- a/packages/core/test/mesh-placement.test.ts
+++ b/packages/core/test/mesh-placement.test.ts
@@ -216,4 +216,14 @@
     assert.equal(countChoices(candidates, 100, 90).get('free-link'), 100);
     assert.equal(countChoices(candidates, 100, 1).get('busy-link'), 100);
   });
+
+  it('counts a slot as free only where that is known and recent', () => {
+    const isFree = (over: Partial<mesh.PlacementCandidate>): boolean =>
+      mesh.hasFreeSlot(candidate('a', over), mesh.placementDefaults);
+    assert.equal(isFree({ load: load({ running: 9 }) }), true);
+    assert.equal(isFree({ load: load({ running: 9, late: 1 }) }), false);
+    assert.equal(isFree({ load: load({ running: 1 }), openCalls: 10 }), false);
+    assert.equal(isFree({ load: undefined }), false);
+    assert.equal(isFree({ loadAgeMs: 10 * mesh.placementDefaults.loadHalfLifeMs }), false);
+  });
 });
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -223,7 +223,10 @@
       const afterMs = times.overdueAfterMs(route.name);
       if (!route.isRepeatable || attempts.count() !== 1 || afterMs === undefined) return;
       if (clock.monotonic() + afterMs >= limitAt) return;
-      overdueTimer = setTimeout(() => handle({ type: 'overdue' }), afterMs);
+      overdueTimer = setTimeout(() => {
+        // Where all targets are busy, a call is overdue since it waits; another would wait as well.
+        if (targets.hasRoom(service, tried)) handle({ type: 'overdue' });
+      }, afterMs);
     };
 
     const send = (mayBeLate: boolean): void => {
--- a/packages/proxy/src/mesh/targets.ts
+++ b/packages/proxy/src/mesh/targets.ts
@@ -12,6 +12,8 @@
     tried: ReadonlySet<string>,
     call: { answerKilobytes: number; mayBeLate: boolean },
   ): mesh.Placement | undefined;
+  /** Tells whether a target that was not tried is known to have a free slot. */
+  hasRoom(service: string, tried: ReadonlySet<string>): boolean;
   noteLoad(hostId: string, load: mesh.TargetLoad): void;
   noteOpened(hostId: string): void;
   noteClosed(hostId: string): void;
@@ -67,6 +69,16 @@
   const listCallable = (service: string): Entry[] =>
     [...entries.values()].filter((entry) => isCallable(entry, service));
 
+  const describe = (entry: Entry, now: number): mesh.PlacementCandidate => ({
+    hostId: entry.member.id,
+    reach: computeReach(entry.member),
+    slots: entry.member.info.target?.slots ?? 1,
+    openCalls: entry.openCalls,
+    load: entry.load,
+    loadAgeMs: now - entry.loadAt,
+    isCold: entry.member.info.target?.isCold === true,
+  });
+
   return {
     setMember(member) {
       const known = entries.get(member.id);
@@ -86,15 +98,7 @@
       const callable = listCallable(service);
       const open = callable.filter(({ circuit }) => circuit.mayCall(now));
       const placement = mesh.choosePlacement(
-        (open.length > 0 ? open : callable).map((entry) => ({
-          hostId: entry.member.id,
-          reach: computeReach(entry.member),
-          slots: entry.member.info.target?.slots ?? 1,
-          openCalls: entry.openCalls,
-          load: entry.load,
-          loadAgeMs: now - entry.loadAt,
-          isCold: entry.member.info.target?.isCold === true,
-        })),
+        (open.length > 0 ? open : callable).map((entry) => describe(entry, now)),
         tried,
         call,
         mesh.placementDefaults,
@@ -103,6 +107,15 @@
       if (placement) entries.get(placement.hostId)?.circuit.noteSent(now);
       return placement;
     },
+    hasRoom(service, tried) {
+      const now = clock.monotonic();
+      return listCallable(service).some(
+        (entry) =>
+          !tried.has(entry.member.id) &&
+          entry.circuit.mayCall(now) &&
+          mesh.hasFreeSlot(describe(entry, now), mesh.placementDefaults),
+      );
+    },
     noteLoad(hostId, load) {
       const entry = entries.get(hostId);
       if (!entry) return;
