--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -24,6 +24,8 @@
   setMark(mark: types.ConfigMark): void;
   /** Tells members the mark, which was known to be the newest `ageMs` ago. */
   tellMark(ids: readonly string[], ageMs: number): types.MembershipEffect[];
+  /** Tells members the newest record of this process, without an answer. */
+  tellSelf(ids: readonly string[]): types.MembershipEffect[];
   /** Announces that this process leaves for good. */
   leave(now: number): types.MembershipEffect[];
   /** Sends a ping to an endpoint whose member is not known yet. */
@@ -236,6 +238,19 @@
     return [];
   };
 
+  const tell = (
+    ids: readonly string[],
+    ageMs: number | null,
+    told: types.Member[],
+  ): types.MembershipEffect[] =>
+    ids.flatMap((id): types.MembershipEffect[] => {
+      const member = members.get(id);
+      if (!member || id === self.id) return [];
+      sequence += 1;
+      const message = { sequence, from: self.id, mark, ageMs, members: told };
+      return [{ type: 'send', to: endpointOf(member), message: { type: 'mark', ...message } }];
+    });
+
   const chooseAckMembers = (ping: {
     from: string;
     isContact: boolean;
@@ -313,7 +328,7 @@
     receive(message, from, now) {
       const effects = merge(message.members, now);
       marks.set(message.from, message.mark);
-      const ageMs = message.type === 'mark' ? message.ageMs : undefined;
+      const ageMs = message.type === 'mark' ? (message.ageMs ?? undefined) : undefined;
       effects.push({ type: 'mark-seen', id: message.from, mark: message.mark, ageMs });
       const handle = handlers[message.type] as (
         item: types.GossipMessage,
@@ -328,15 +343,8 @@
       // Copied, so that whatever else the caller's object holds stays out of the datagrams.
       mark = { position, version, digest };
     },
-    tellMark(ids, ageMs) {
-      return ids.flatMap((id): types.MembershipEffect[] => {
-        const member = members.get(id);
-        if (!member || id === self.id) return [];
-        sequence += 1;
-        const message = { sequence, from: self.id, mark, ageMs, members: [] };
-        return [{ type: 'send', to: endpointOf(member), message: { type: 'mark', ...message } }];
-      });
-    },
+    tellMark: (ids, ageMs) => tell(ids, ageMs, []),
+    tellSelf: (ids) => tell(ids, null, [self]),
     leave: (now) =>
       replaceSelf({ status: 'left', info: { ...self.info, ready: false, target: null } }, now),
     contact(to) {
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -67,13 +67,13 @@
       members: Member[];
     }
   | {
-      /** Tells the sender's mark and asks for nothing. */
+      /** Tells what has changed and asks for nothing. */
       type: 'mark';
       sequence: number;
       from: string;
       mark: ConfigMark;
-      /** Time since the mark was known to be the newest, in milliseconds. */
-      ageMs: number;
+      /** Time since the mark was known to be the newest, in milliseconds; null when not told. */
+      ageMs: number | null;
       members: Member[];
     };
 
--- a/packages/core/test/membership.test.ts
+++ b/packages/core/test/membership.test.ts
@@ -202,6 +202,30 @@
     assert.equal(observer.get('m1')?.info.instance, 'm1|7000');
   });
 
+  it('tells a change to chosen members, who take it in and answer nothing', () => {
+    const create = (id: string): core.Membership =>
+      core.createMembership({
+        id,
+        incarnation: 1,
+        info: createInfo(0),
+        options: core.membershipDefaults,
+        random: support.createRandom(1),
+      });
+    const [teller, hearer] = [create('m0'), create('m1')];
+    teller.merge([hearer.self()], 0);
+    teller.setInfo({ target: { service: 'a', slots: 1, state: 'draining' } }, 5);
+    const effects = teller.tellSelf(['m1', 'unknown', 'm0']);
+    assert.equal(effects.length, 1);
+    const [effect] = effects;
+    assert.ok(effect?.type === 'send');
+    const answer = hearer.receive(effect.message, { address: '127.0.0.1', port: 1 }, 6);
+    assert.deepEqual(
+      answer.filter(({ type }) => type === 'send'),
+      [],
+    );
+    assert.equal(hearer.get('m0')?.info.target?.state, 'draining');
+  });
+
   it('lets a higher incarnation and then the worse status win', () => {
     const member = { id: 'm', incarnation: 2, status: 'alive' as const, info: createInfo(0) };
     assert.ok(core.isNewer({ ...member, incarnation: 3 }, { ...member, status: 'dead' }));
--- a/packages/proxy/src/gossip-schemas.ts
+++ b/packages/proxy/src/gossip-schemas.ts
@@ -45,5 +45,9 @@
   z.object({ type: z.literal('ping'), isContact: z.boolean(), ...messageFields }),
   z.object({ type: z.literal('ack'), ...messageFields }),
   z.object({ type: z.literal('ping-request'), subject: z.string(), ...messageFields }),
-  z.object({ type: z.literal('mark'), ageMs: z.number().nonnegative(), ...messageFields }),
+  z.object({
+    type: z.literal('mark'),
+    ageMs: z.number().nonnegative().nullable(),
+    ...messageFields,
+  }),
 ]);
--- a/packages/proxy/src/mesh/members.ts
+++ b/packages/proxy/src/mesh/members.ts
@@ -35,7 +35,7 @@
 /** Hosts that hear of a change of this one at once; gossip reaches the rest. */
 const MAX_TOLD_AT_ONCE = 32;
 /** Hosts that a new process contacts at once; enough that some live after a large loss. */
-const MAX_FIRST_CONTACTS = 64;
+const MAX_FIRST_CONTACTS = 24;
 /** How often a host that is not known to live is contacted; cuts heal within a few of these. */
 const RECONTACT_MS = 500;
 /** How often the list of known hosts is read again, for strangers that gossip has missed. */
@@ -231,9 +231,8 @@
     const live = membership
       .list()
       .filter(({ id, status }) => id !== settings.id && status === 'alive');
-    pickRandom(live, MAX_TOLD_AT_ONCE).forEach(({ info }) =>
-      contact({ address: info.address, port: info.peerPort }),
-    );
+    const ids = pickRandom(live, MAX_TOLD_AT_ONCE).map(({ id }) => id);
+    perform(membership.tellSelf(ids));
   };
 
   return {
