--- a/packages/core/src/mesh/call-machine.ts
+++ b/packages/core/src/mesh/call-machine.ts
@@ -43,8 +43,6 @@
   maxRefusals: number;
   /** Refusals of the call as a late one after which it is turned away. */
   maxLateRefusals: number;
-  /** True when its objective has passed before it was sent, as for a caller who comes back. */
-  startsLate: boolean;
   /** Takes one repeat from the budget of the service, or returns false when it is spent. */
   takeRetry: () => boolean;
 }
@@ -94,7 +92,7 @@
   let misses = 0;
   let retryAfterMs = 0;
   /** True once no target was found at which the objective can be met. */
-  let isLate = policy.startsLate;
+  let isLate = false;
   let lateRefusals = 0;
 
   const send = (): CallEffect[] => {
--- a/packages/core/src/mesh/index.ts
+++ b/packages/core/src/mesh/index.ts
@@ -59,7 +59,6 @@
   type TargetAnnouncement,
   type TargetGate,
 } from './target-gate.js';
-export { createUsualDeadlines, type UsualDeadlines } from './usual-deadlines.js';
 export type {
   CallerLimits,
   MeshConfig,
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -80,7 +80,6 @@
   const { ctx, targets, target, peers, held, countProcesses } = input;
   const { settings, clock, metrics } = ctx;
   const splitter = mesh.createSplitter(ctx.random);
-  const deadlines = mesh.createUsualDeadlines();
   const budgets = new Map<string, core.RetryBudget>();
   const calls = callLog.createCallLog(ctx);
   const times = mesh.createAnswerTimes(mesh.answerTimesDefaults);
@@ -113,18 +112,13 @@
     const tried = new Set<string>();
     const fullHosts = new Set<string>();
     const limitAt = Math.min(call.deadlineAt, call.receivedAt + route.timeoutMs);
-    // A target's own call has its parent's deadline, which says nothing of earlier tries.
-    const spentMs = call.isNested
-      ? 0
-      : deadlines.note(route.name, call.deadlineAt - call.receivedAt);
-    const objectiveAt = Math.min(limitAt, call.receivedAt + route.objectiveMs - spentMs);
+    const objectiveAt = Math.min(limitAt, call.receivedAt + route.objectiveMs);
     let isLate = false;
     const machine = mesh.createCallMachine({
       isRepeatable: route.isRepeatable,
       maxAttempts: route.maxAttempts,
       maxRefusals: constants.MAX_REFUSALS,
       maxLateRefusals: constants.MAX_LATE_REFUSALS,
-      startsLate: objectiveAt <= call.receivedAt,
       takeRetry: () => budget.takeRetry(),
     });
     const attempts = callAttempts.createCallAttempts((hostId) => targets.noteClosed(hostId));
