--- a/packages/core/src/mesh/slot-queue.ts
+++ b/packages/core/src/mesh/slot-queue.ts
@@ -31,12 +31,18 @@
 /** Settings of a slot queue. */
 export interface SlotQueueOptions {
   estimates: estimates.EstimateOptions;
+  /**
+   * How much longer a late call waits than what is ahead of it takes, since calls that are not late
+   * go on overtaking it; 2 when those take half of the slots.
+   */
+  lateWaitFactor: number;
   /** Waiting calls per slot at most, a bound on memory. */
   maxWaitingPerSlot: number;
 }
 
 export const slotQueueDefaults: SlotQueueOptions = {
   estimates: estimates.estimateDefaults,
+  lateWaitFactor: 2,
   maxWaitingPerSlot: 8,
 };
 
@@ -136,7 +142,8 @@
       const entry = { ...request, since: now, priorMs };
       const ahead = waiting.filter((other) => compare(other, entry, now) <= 0).length;
       const rounds = running.size < slots ? 0 : (ahead + 1) / Math.max(1, slots);
-      const startsAt = now + rounds * times.meanMs();
+      const overtaken = request.mayBeLate ? options.lateWaitFactor : 1;
+      const startsAt = now + rounds * times.meanMs() * overtaken;
       if (isTooLate(entry, startsAt)) return [refuse(request.id, 'too-late')];
       if (!request.mayBeLate && rounds > 0 && missesObjective(entry, startsAt)) {
         return [refuse(request.id, 'full')];
--- a/packages/core/test/mesh-slot-queue.test.ts
+++ b/packages/core/test/mesh-slot-queue.test.ts
@@ -152,4 +152,19 @@
     queue.abandon('left', 20, 0);
     assert.equal(queue.load(0).serviceMs, 200);
   });
+
+  it('refuses at once a late call that would be overtaken until its deadline has passed', () => {
+    const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults);
+    for (let call = 0; call < 5; call += 1) {
+      queue.offer(request(`c${call}`), 0);
+      queue.release(`c${call}`, 200, 0);
+    }
+    queue.offer(request('running'), 0);
+    queue.offer(request('ahead', { mayBeLate: true, objectiveAt: 0 }), 0);
+    const late = { mayBeLate: true, objectiveAt: 0 };
+    // 400 ms are ahead of it, and as much again for those that will overtake it.
+    const [refused] = queue.offer(request('hopeless', { ...late, deadlineAt: 900 }), 0);
+    assert.equal(refused?.type, 'refuse');
+    assert.deepEqual(queue.offer(request('patient', { ...late, deadlineAt: 1_100 }), 0), []);
+  });
 });
