End connections that always have calls open when a process stops

Answers announce the end of their connection only when no other call waits on it; a caller who pipelines has always one open, so its connection went on until the exit. From the moment that connections are closed, no call is taken behind others and the last answer in order announces the end.

--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -34,7 +34,8 @@
 
 /** Calls of one connection that are not answered yet; answers go out in the order of the calls. */
 interface Connection {
-  open: Set<() => void>;
+  /** What tells each call that its caller left, by its response, in the order of the calls. */
+  open: Map<http.ServerResponse, () => void>;
   /** True once an answer has said that the connection closes. */
   isClosing: boolean;
 }
@@ -62,27 +63,33 @@
     protocol.notRun,
   ]);
   let isDraining = false;
+  let isClosed = false;
   let maxBodyBytes = constants.MAX_HELD_BYTES;
   let openCalls = 0;
 
   const findConnection = (socket: net.Socket): Connection => {
     const known = connections.get(socket);
     if (known) return known;
-    const connection: Connection = { open: new Set(), isClosing: false };
+    const connection: Connection = { open: new Map(), isClosing: false };
     connections.set(socket, connection);
     socket.once('close', () => {
       connections.delete(socket);
       openCalls -= connection.open.size;
-      const leaving = [...connection.open];
+      const leaving = [...connection.open.values()];
       connection.open.clear();
       leaving.forEach((leave) => leave());
     });
     return connection;
   };
 
-  /** Ends the connection with this answer while draining, unless other calls wait behind it. */
-  const formatClosing = (connection: Connection): string[] => {
-    if (!isDraining || connection.open.size > 1) return [];
+  /**
+   * Ends the connection with this answer: while draining when no other call waits on it, and after
+   * `close`, when no more calls are taken behind those that wait, with the last of them.
+   */
+  const formatClosing = (connection: Connection, response: http.ServerResponse): string[] => {
+    const { open } = connection;
+    const isLast = isClosed ? [...open.keys()].at(-1) === response : open.size <= 1;
+    if (!isDraining || !isLast) return [];
     connection.isClosing = true;
     return ['Connection', 'close'];
   };
@@ -97,7 +104,7 @@
     metrics.count('answers_own_total', { status: String(status) });
     response.writeHead(status, [
       ...(retryAfterMs > 0 ? ['Retry-After', (retryAfterMs / MS_PER_SECOND).toFixed(3)] : []),
-      ...formatClosing(connection),
+      ...formatClosing(connection, response),
       'Content-Length',
       '0',
     ]);
@@ -113,7 +120,7 @@
       if (response.destroyed) return;
       response.writeHead(answer.status, [
         ...answer.headers,
-        ...formatClosing(connection),
+        ...formatClosing(connection, response),
         'Content-Length',
         String(answer.body.length),
       ]);
@@ -123,7 +130,7 @@
       const length = answer.message.headers['content-length'];
       response.writeHead(answer.status, [
         ...answer.headers,
-        ...formatClosing(connection),
+        ...formatClosing(connection, response),
         ...(length === undefined ? [] : ['Content-Length', length]),
       ]);
       received.forEach((chunk) => response.write(chunk));
@@ -160,17 +167,18 @@
     const connection = findConnection(socket);
     request.on('error', () => undefined);
     response.on('error', () => undefined);
-    if (connection.isClosing) {
+    if (connection.isClosing || (isClosed && connection.open.size > 0)) {
       // The connection ends with an earlier answer; the caller sends this call again elsewhere.
       request.resume();
       return;
     }
     openCalls += 1;
     let leave = (): void => undefined;
-    const noteLeft = (): void => leave();
-    connection.open.add(noteLeft);
+    connection.open.set(response, () => leave());
     const forget = (): void => {
-      if (connection.open.delete(noteLeft)) openCalls -= 1;
+      if (connection.open.delete(response)) openCalls -= 1;
+      // The last answer had begun before the stop, so that it could not say so.
+      if (isClosed && connection.open.size === 0 && !connection.isClosing) socket.end();
     };
     response.once('finish', forget);
     response.once('close', () => {
@@ -245,6 +253,7 @@
       isDraining = true;
     },
     close() {
+      isClosed = true;
       server.close();
       server.closeIdleConnections();
     },
