Membership: repair lost news with the next probe, and send it as often as before

An update was sent log2(n) times by each host since the compact gossip came, which by the theory of such gossip leaves some hosts out, and nothing repaired what was lost. The new test fails without it: the change never arrives.

--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -157,6 +157,9 @@
     return id === undefined ? undefined : members.get(id);
   };
 
+  const withSelf = (list: types.Member[]): types.Member[] =>
+    options.tellsSelf ? [self, ...list.filter(({ id }) => id !== self.id)] : list;
+
   const sendPing = (
     to: types.Endpoint,
     number: number,
@@ -171,7 +174,7 @@
       from: self.id,
       isContact,
       mark,
-      members: takeUpdates(receiver),
+      members: withSelf(takeUpdates(receiver)),
     },
   });
 
@@ -263,7 +266,7 @@
     // record is passed over for that of a former life, since its clock was set back.
     const mustHear =
       known && (known.status !== 'alive' || (told && told.incarnation < known.incarnation));
-    const first = [...(isContact ? [self] : []), ...(mustHear ? [known] : [])];
+    const first = [...(isContact || options.tellsSelf ? [self] : []), ...(mustHear ? [known] : [])];
     const firstIds = first.map(({ id }) => id);
     return [...first, ...takeUpdates(receiver).filter(({ id }) => !firstIds.includes(id))];
   };
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -101,6 +101,8 @@
   scope?: 'data-centre' | 'fleet' | undefined;
   /** Share of the members of other regions that a round of probes includes; all by default. */
   farProbeShare?: number | undefined;
+  /** Whether each probe and its answer carry the sender's own record, which repairs lost news. */
+  tellsSelf?: boolean | undefined;
   pingIntervalMs: number;
   pingTimeoutMs: number;
   suspicionMs: number;
--- a/packages/core/test/membership.test.ts
+++ b/packages/core/test/membership.test.ts
@@ -202,6 +202,31 @@
     assert.equal(observer.get('m1')?.info.instance, 'm1|7000');
   });
 
+  it('brings a change that was lost on all its ways with the next probe', () => {
+    const options = { ...core.membershipDefaults, tellsSelf: true };
+    const create = (id: string, index: number): core.Membership =>
+      core.createMembership({
+        id,
+        incarnation: 1,
+        info: createInfo(index),
+        options,
+        random: support.createRandom(1),
+      });
+    const [first, second] = [create('m0', 0), create('m1', 1)];
+    first.merge([second.self()], 0);
+    second.merge([first.self()], 0);
+    first.setInfo({ target: { service: 'a', slots: 1, state: 'up' } }, 5);
+    // More sends than an update is carried by, all of them lost.
+    for (let now = 100; now <= 20_000; now += 100) first.tick(now);
+    const endpoint = { address: '127.0.0.1', port: 1 };
+    const pass = (effects: core.MembershipEffect[], to: core.Membership): core.MembershipEffect[] =>
+      effects.flatMap((effect) =>
+        effect.type === 'send' ? to.receive(effect.message, endpoint, 20_100) : [],
+      );
+    pass(pass(second.tick(20_100), first), second);
+    assert.equal(second.get('m0')?.info.target?.state, 'up');
+  });
+
   it('tells a change to chosen members, who take it in and answer nothing', () => {
     const create = (id: string): core.Membership =>
       core.createMembership({
--- a/packages/proxy/src/mesh/members.ts
+++ b/packages/proxy/src/mesh/members.ts
@@ -55,8 +55,9 @@
   suspicionMs: 2_000,
   forgetMs: 120_000,
   maxPiggyback: 8,
-  // Changes go to many hosts at once already, so gossip only has to reach those that were missed.
-  retransmitFactor: 1,
+  // With fewer sends, gossip of this kind leaves some hosts out; what is lost all the same comes with
+  // the next probe between the two.
+  tellsSelf: true,
   // Hosts of other regions are watched by their own; this finds cuts between regions.
   farProbeShare: 0.25,
 };
