Let one piece of code serve where the mesh repeated itself

The connection headers and the prefix of our own stood on both paths of calls; the head and body of an answer that is passed on in three places; the moving size of a route's answers and the size of a large one, and the step of a mean deviation, in two places each. Bodies are read by node:stream/consumers instead of loops. Members that nobody called are gone.

Behaviour: as before, but for an answer too large to be held, which travels between two proxies with the length that its target gave instead of in chunks.

--- a/packages/core/src/mesh/answer-times.ts
+++ b/packages/core/src/mesh/answer-times.ts
@@ -4,6 +4,7 @@
  * calls are worth a second send long before their deadline, the slow tail of a healthy target is
  * not.
  */
+import * as deviation from './deviation.js';
 
 /** Settings of the times. */
 export interface AnswerTimesOptions {
@@ -32,10 +33,8 @@
   overdueAfterMs(kind: string): number | undefined;
 }
 
-interface Times {
+interface Times extends deviation.Deviation {
   samples: number;
-  meanMs: number;
-  deviationMs: number;
 }
 
 /**
@@ -52,15 +51,14 @@
       const times = kinds.get(kind) ?? { samples: 0, meanMs: tookMs, deviationMs: 0 };
       times.samples += 1;
       const gain = Math.max(options.gain, 1 / times.samples);
-      times.deviationMs += (Math.abs(tookMs - times.meanMs) - times.deviationMs) * gain;
-      times.meanMs += (tookMs - times.meanMs) * gain;
+      deviation.addSample(times, tookMs, gain);
       kinds.set(kind, times);
     },
     overdueAfterMs(kind) {
       const times = kinds.get(kind);
       if (!times || times.samples < options.minSamples) return undefined;
-      const { meanMs, deviationMs } = times;
-      return Math.max(meanMs * options.minMultiple, meanMs + deviationMs * options.deviations);
+      const boundMs = deviation.computeBoundMs(times, options.deviations);
+      return Math.max(times.meanMs * options.minMultiple, boundMs);
     },
   };
 }
--- a/packages/core/src/mesh/index.ts
+++ b/packages/core/src/mesh/index.ts
@@ -12,12 +12,14 @@
   type CallMachine,
   type CallPolicy,
 } from './call-machine.js';
+export { BYTES_PER_KILOBYTE } from './constants.js';
 export {
   createLinkPacer,
   linkPacerDefaults,
   type LinkPacer,
   type LinkPacerOptions,
 } from './link-pacer.js';
+export { createMeanSizes, type MeanSizes } from './mean-sizes.js';
 export {
   createPatienceEstimate,
   patienceDefaults,
--- a/packages/core/src/mesh/link-pacer.ts
+++ b/packages/core/src/mesh/link-pacer.ts
@@ -5,6 +5,8 @@
  * them together. Large answers leave one after another instead, and a call whose answer would come
  * too late is refused before it runs.
  */
+import * as constants from './constants.js';
+import * as meanSizes from './mean-sizes.js';
 
 /** Settings of a pacer. */
 export interface LinkPacerOptions {
@@ -12,16 +14,10 @@
   linkMbps: number;
   /** Share of the link that large answers may fill; the rest is for all that is small. */
   largeShare: number;
-  /** Answers from this size on are large, in bytes; a few packets. */
-  largeBytes: number;
-  /** Weight of the newest answer in the mean size of a kind. */
-  gain: number;
 }
 
 export const linkPacerDefaults: Omit<LinkPacerOptions, 'linkMbps'> = {
   largeShare: 0.85,
-  largeBytes: 16_384,
-  gain: 0.1,
 };
 
 /** The pacer of one link. */
@@ -41,7 +37,6 @@
 
 const BITS_PER_BYTE = 8;
 const BITS_PER_MS_OF_MBPS = 1_000;
-const BYTES_PER_KILOBYTE = 1_024;
 
 /**
  * Creates a pacer of an idle link.
@@ -51,32 +46,29 @@
  * pacer.reserve('download', 90_000, now); // 0
  */
 export function createLinkPacer(options: LinkPacerOptions): LinkPacer {
-  const { linkMbps, largeShare, largeBytes, gain } = options;
+  const { linkMbps, largeShare } = options;
   const bytesPerMs = (linkMbps * BITS_PER_MS_OF_MBPS * largeShare) / BITS_PER_BYTE;
-  const sizes = new Map<string, number>();
+  const sizes = meanSizes.createMeanSizes();
   let freeAt = 0;
 
-  const noteSize = (kind: string, bytes: number): void => {
-    const known = sizes.get(kind) ?? bytes;
-    sizes.set(kind, known + (bytes - known) * gain);
-  };
+  const isLarge = (bytes: number): boolean => bytes >= constants.LARGE_ANSWER_BYTES;
   const backlogMs = (now: number): number => Math.max(0, freeAt - now);
 
   return {
-    isLarge: (bytes) => bytes >= largeBytes,
+    isLarge,
     reserve(kind, bytes, now) {
-      noteSize(kind, bytes);
+      sizes.note(kind, bytes);
       const delayMs = backlogMs(now);
       freeAt = now + delayMs + bytes / bytesPerMs;
       return delayMs;
     },
-    noteSmall: noteSize,
+    noteSmall: sizes.note,
     expectMs(kind, now) {
-      const bytes = sizes.get(kind) ?? 0;
-      const waitMs = bytes >= largeBytes ? backlogMs(now) : 0;
+      const bytes = sizes.meanBytes(kind);
+      const waitMs = isLarge(bytes) ? backlogMs(now) : 0;
       return waitMs + bytes / bytesPerMs;
     },
     backlogMs,
-    kilobyteMs: BYTES_PER_KILOBYTE / bytesPerMs,
+    kilobyteMs: constants.BYTES_PER_KILOBYTE / bytesPerMs,
   };
 }
--- a/packages/core/src/mesh/patience.ts
+++ b/packages/core/src/mesh/patience.ts
@@ -2,6 +2,7 @@
  * Learns how long to wait for a sign of life before a connection counts as silent. Load pattern:
  * hosts on narrow links, whose acknowledgements wait behind large answers of their own.
  */
+import * as deviation from './deviation.js';
 
 /** Settings of an estimate, in milliseconds. */
 export interface PatienceOptions {
@@ -37,21 +38,19 @@
  * const patience = createPatienceEstimate({ ...patienceDefaults, minMs: 300, maxMs: 900 });
  */
 export function createPatienceEstimate(options: PatienceOptions): PatienceEstimate {
-  let meanMs = 0;
-  let deviationMs = 0;
+  const times: deviation.Deviation = { meanMs: 0, deviationMs: 0 };
   let grownMs = 0;
 
   return {
     note(tookMs) {
-      deviationMs += (Math.abs(tookMs - meanMs) - deviationMs) * options.gain;
-      meanMs += (tookMs - meanMs) * options.gain;
+      deviation.addSample(times, tookMs, options.gain);
       grownMs *= 1 - options.gain;
     },
     noteTimeout() {
       grownMs = Math.min(options.maxMs, Math.max(grownMs, options.minMs) * (1 + options.growth));
     },
     timeoutMs() {
-      const learnedMs = meanMs + deviationMs * options.deviations;
+      const learnedMs = deviation.computeBoundMs(times, options.deviations);
       return Math.min(options.maxMs, Math.max(options.minMs, grownMs, learnedMs));
     },
   };
--- a/packages/core/src/mesh/placement.ts
+++ b/packages/core/src/mesh/placement.ts
@@ -4,6 +4,7 @@
  * speed, some of them slow or failing for a while, and newcomers that nothing is known of.
  */
 import type * as clock from '../shared/clock.js';
+import * as constants from './constants.js';
 import type * as types from './types.js';
 
 /** How far a target's host is from here. */
@@ -67,14 +68,10 @@
   kilobyteMs: 0,
 };
 
-/** Answers from this size on wait for the link, in kilobytes. */
-const LARGE_KILOBYTES = 16;
-
 /** The choice and what it was based on. */
 export interface Placement {
   hostId: string;
   expectedMs: number;
-  candidates: number;
 }
 
 /**
@@ -105,7 +102,8 @@
   const reachMs =
     options.reachCostMs[candidate.reach] +
     options.kilobyteCostMs[candidate.reach] * answerKilobytes;
-  const backlogMs = answerKilobytes >= LARGE_KILOBYTES ? known.backlogMs * weight : 0;
+  const isLarge = answerKilobytes * constants.BYTES_PER_KILOBYTE >= constants.LARGE_ANSWER_BYTES;
+  const backlogMs = isLarge ? known.backlogMs * weight : 0;
   const linkMs =
     candidate.reach === 'own-host' ? 0 : backlogMs + known.kilobyteMs * answerKilobytes;
   return reachMs + linkMs + serviceMs + waitMs + crowdMs + coldMs + failureMs;
@@ -150,12 +148,12 @@
   const explored = unknown[Math.floor(random() * unknown.length)];
   if (explored && unknown.length < open.length && random() < options.explorationShare) {
     const expectedMs = computeExpectedMs(explored, described, options);
-    return { hostId: explored.hostId, expectedMs, candidates: open.length };
+    return { hostId: explored.hostId, expectedMs };
   }
   return open.reduce<Placement | undefined>((best, candidate) => {
     const estimate = computeExpectedMs(candidate, described, options);
     const expectedMs = estimate * (1 + options.noise * random());
     if (best && best.expectedMs <= expectedMs) return best;
-    return { hostId: candidate.hostId, expectedMs, candidates: open.length };
+    return { hostId: candidate.hostId, expectedMs };
   }, undefined);
 }
--- a/packages/core/src/mesh/types.ts
+++ b/packages/core/src/mesh/types.ts
@@ -57,7 +57,6 @@
   | 'target-down'
   | 'wrong-instance'
   | 'target-refused'
-  | 'no-target'
   | 'unreachable';
 
 /** What the proxy beside a target says about it, with each answer. */
--- a/packages/proxy/src/calls/headers.ts
+++ b/packages/proxy/src/calls/headers.ts
@@ -1,4 +1,5 @@
 /** Names of the headers that carry a call between processes, and which ones pass through. */
+import * as passingHeaders from '../passing-headers.js';
 import type * as types from './types.js';
 
 export const headerNames = {
@@ -27,21 +28,7 @@
   idempotencyKey: 'idempotency-key',
 } as const;
 
-const hopByHop = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-  'expect',
-  'host',
-]);
-
-const ownPrefix = 'x-figshed-';
+const hopByHop = new Set([...passingHeaders.connectionHeaders, 'host']);
 
 function copyHeaders(headers: types.Headers, keep: (name: string) => boolean): types.Headers {
   const copy: types.Headers = {};
@@ -60,7 +47,10 @@
 export function copyRequestHeaders(headers: types.Headers): types.Headers {
   return copyHeaders(
     headers,
-    (name) => name !== 'authorization' && name !== 'content-length' && !name.startsWith(ownPrefix),
+    (name) =>
+      name !== 'authorization' &&
+      name !== 'content-length' &&
+      !name.startsWith(passingHeaders.PRIVATE_PREFIX),
   );
 }
 
@@ -71,7 +61,7 @@
  * copyAnswerHeaders({ 'content-type': 'text/plain', connection: 'close' });
  */
 export function copyAnswerHeaders(headers: types.Headers): types.Headers {
-  return copyHeaders(headers, (name) => !name.startsWith(ownPrefix));
+  return copyHeaders(headers, (name) => !name.startsWith(passingHeaders.PRIVATE_PREFIX));
 }
 
 /**
--- a/packages/proxy/src/mesh/answer.ts
+++ b/packages/proxy/src/mesh/answer.ts
@@ -46,21 +46,33 @@
 }
 
 /**
- * Passes the body of an answer on; a body that does not arrive whole destroys the receiver, so
- * that it cannot look complete.
+ * Passes an answer on while it arrives: its head with further headers, what was received already,
+ * and the rest. A body that does not arrive whole destroys the receiver, so that it cannot look
+ * complete.
  *
  * @example
- * passOn(answer, response, () => log.warn('answer-cut'));
+ * passOn(answer, response, { headers: [], received: [], onCut: () => log.warn('answer-cut') });
  */
-export function passOn(answer: Answer, response: http.ServerResponse, onCut: () => void): void {
-  const { message } = answer;
+export function passOn(
+  answer: Answer,
+  response: http.ServerResponse,
+  options: { headers: string[]; received: readonly Buffer[]; onCut: () => void },
+): void {
+  const { status, headers, message } = answer;
+  const length = message.headers['content-length'];
+  response.writeHead(status, [
+    ...headers,
+    ...options.headers,
+    ...(length === undefined ? [] : ['Content-Length', length]),
+  ]);
+  options.received.forEach((chunk) => response.write(chunk));
   message.pipe(response, { end: false });
   message.once('close', () => {
     if (answer.isWhole()) {
       response.end();
       return;
     }
-    onCut();
+    options.onCut();
     response.destroy();
   });
 }
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -66,10 +66,6 @@
   effect: Extract<mesh.CallEffect, { type: K }>,
 ) => void;
 
-/** Weight of the newest answer in the mean size of a route's answers. */
-const SIZE_GAIN = 0.1;
-const BYTES_PER_KILOBYTE = 1_024;
-
 /**
  * Creates the runner of calls.
  *
@@ -83,8 +79,8 @@
   const budgets = new Map<string, core.RetryBudget>();
   const calls = callLog.createCallLog(ctx);
   const times = mesh.createAnswerTimes(mesh.answerTimesDefaults);
-  /** Moving mean of the answers of each route, in kilobytes. */
-  const sizes = new Map<string, number>();
+  /** Of the answers of each route. */
+  const sizes = mesh.createMeanSizes();
 
   const findBudget = (service: string): core.RetryBudget => {
     const known = budgets.get(service);
@@ -98,12 +94,6 @@
     return budget;
   };
 
-  const noteSize = (name: string, bytes: number): void => {
-    const kilobytes = bytes / BYTES_PER_KILOBYTE;
-    const known = sizes.get(name) ?? kilobytes;
-    sizes.set(name, known + (kilobytes - known) * SIZE_GAIN);
-  };
-
   const run = (call: Call, reply: CallReply): (() => void) => {
     const { route } = call;
     const service = splitter.choose(route);
@@ -169,7 +159,7 @@
           if (!ended) return;
           answer = whole;
           hostId = host;
-          noteSize(route.name, whole.body.length);
+          sizes.note(route.name, whole.body.length);
           const isFailure = whole.status >= constants.HTTP.firstServerError;
           if (isFailure) {
             const cause = String(whole.status);
@@ -228,7 +218,7 @@
       if (mayBeLate && !isLate) fullHosts.forEach((host) => tried.delete(host));
       isLate = mayBeLate;
       const placement = targets.choose(service, tried, {
-        answerKilobytes: sizes.get(route.name) ?? 0,
+        answerKilobytes: sizes.meanBytes(route.name) / mesh.BYTES_PER_KILOBYTE,
         mayBeLate,
       });
       const endpoint = placement && targets.endpoint(placement.hostId);
--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -127,14 +127,11 @@
       response.end(answer.body);
     },
     stream(answer, received) {
-      const length = answer.message.headers['content-length'];
-      response.writeHead(answer.status, [
-        ...answer.headers,
-        ...formatClosing(connection, response),
-        ...(length === undefined ? [] : ['Content-Length', length]),
-      ]);
-      received.forEach((chunk) => response.write(chunk));
-      answerModule.passOn(answer, response, () => log.warn('answer-cut', { call: callId }));
+      answerModule.passOn(answer, response, {
+        headers: formatClosing(connection, response),
+        received,
+        onCut: () => log.warn('answer-cut', { call: callId }),
+      });
     },
     refuse(status, retryAfterMs) {
       answerOwn(response, connection, status, retryAfterMs);
--- a/packages/proxy/src/mesh/headers.ts
+++ b/packages/proxy/src/mesh/headers.ts
@@ -1,26 +1,15 @@
 /** Headers between callers, proxies and targets, as names and values by turns. */
 import type * as mesh from '@figshed/core/mesh';
+import * as passingHeaders from '../passing-headers.js';
 
-/** Prefix of the headers between proxies; callers and targets can neither set nor see them. */
-const PRIVATE_PREFIX = 'x-figshed-';
+const { PRIVATE_PREFIX } = passingHeaders;
 const ATTEMPT = `${PRIVATE_PREFIX}attempt`;
 const LOAD = `${PRIVATE_PREFIX}load`;
 const REFUSED = `${PRIVATE_PREFIX}refused`;
 const BROKEN = `${PRIVATE_PREFIX}broken`;
 
-const connectionHeaders: ReadonlySet<string> = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-  'expect',
-  'content-length',
-]);
+/** Bodies are framed anew at each hop. */
+const framingHeaders = new Set([...passingHeaders.connectionHeaders, 'content-length']);
 
 /** Facts of an attempt that travel in one header; times are what is left. */
 export interface AttemptFacts {
@@ -52,7 +41,7 @@
     const name = raw[index] ?? '';
     const lower = name.toLowerCase();
     const isDropped =
-      connectionHeaders.has(lower) ||
+      framingHeaders.has(lower) ||
       named.has(lower) ||
       drop.has(lower) ||
       lower.startsWith(PRIVATE_PREFIX);
--- a/packages/proxy/src/mesh/members.ts
+++ b/packages/proxy/src/mesh/members.ts
@@ -8,7 +8,6 @@
 /** The view of one process. */
 export interface Members {
   list(): core.Member[];
-  get(id: string): core.Member | undefined;
   setInfo(info: Partial<core.MemberInfo>): void;
   setVersion(version: number): void;
   /** Tells members the version, which was known to be the newest `ageMs` ago. */
@@ -238,7 +237,6 @@
 
   return {
     list: () => membership.list(),
-    get: (id) => membership.get(id),
     setInfo(info) {
       perform(membership.setInfo(info, clock.monotonic()));
       tellNow();
--- a/packages/proxy/src/mesh/peer-client.ts
+++ b/packages/proxy/src/mesh/peer-client.ts
@@ -1,5 +1,6 @@
 /** Sends attempts to the proxies beside other targets. */
 import * as http from 'node:http';
+import * as consumers from 'node:stream/consumers';
 import * as util from 'node:util';
 import * as zlib from 'node:zlib';
 import type * as core from '@figshed/core';
@@ -208,16 +209,12 @@
         request.once('close', () => clearTimeout(timer));
         request.once('error', reject);
         request.once('response', (message) => {
-          const chunks: Buffer[] = [];
-          message.on('data', (chunk: Buffer) => chunks.push(chunk));
-          message.once('error', reject);
-          message.once('end', () => {
-            if (message.statusCode !== constants.HTTP.ok) {
-              reject(new Error(`status ${message.statusCode}`));
-              return;
-            }
-            resolve(Buffer.concat(chunks));
-          });
+          if (message.statusCode === constants.HTTP.ok) {
+            consumers.buffer(message).then(resolve, reject);
+            return;
+          }
+          message.resume();
+          reject(new Error(`status ${message.statusCode}`));
         });
       });
       return JSON.parse((await gunzip(bytes)).toString()) as mesh.MeshConfig;
--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -86,16 +86,17 @@
     response.end();
   };
 
-  /** Writes an answer while it arrives. */
-  const passOn = (answer: answerModule.Answer, response: http.ServerResponse): void => {
-    const length = answer.message.headers['content-length'];
-    response.writeHead(answer.status, [
-      ...answer.headers,
-      ...formatLoad(),
-      ...(length === undefined ? [] : ['Content-Length', length]),
-    ]);
-    answerModule.passOn(answer, response, () => undefined);
-  };
+  /** Writes an answer while it arrives; the caller's proxy sees and logs when it is cut. */
+  const passOn = (
+    answer: answerModule.Answer,
+    response: http.ServerResponse,
+    received: readonly Buffer[] = [],
+  ): void =>
+    answerModule.passOn(answer, response, {
+      headers: formatLoad(),
+      received,
+      onCut: () => undefined,
+    });
 
   /** Takes a large answer from the target at once, and writes it when the link is free for it. */
   const passOnPaced = (
@@ -115,11 +116,7 @@
       response.end(whole.body);
     };
     callAttempts.gatherAnswer(answer, held, {
-      onLarge(chunks) {
-        response.writeHead(answer.status, [...answer.headers, ...formatLoad()]);
-        chunks.forEach((chunk) => response.write(chunk));
-        answerModule.passOn(answer, response, () => undefined);
-      },
+      onLarge: (chunks) => passOn(answer, response, chunks),
       onPassed: () => undefined,
       onWhole: (whole) => setTimeout(write, delayMs, whole),
       onCut: () => response.destroy(),
--- a/packages/proxy/src/mesh/target-port.ts
+++ b/packages/proxy/src/mesh/target-port.ts
@@ -145,14 +145,16 @@
       return;
     }
     const { headers } = message;
-    if (headers[protocol.notRun] !== undefined || status === constants.HTTP.misdirected) {
+    if (status === constants.HTTP.misdirected) {
       message.resume();
-      if (status === constants.HTTP.misdirected) markDown(entry.instance, 'another-instance');
-      else noteOutcome(true);
-      finishRefused(
-        key,
-        status === constants.HTTP.misdirected ? 'wrong-instance' : 'target-refused',
-      );
+      markDown(entry.instance, 'another-instance');
+      finishRefused(key, 'wrong-instance');
+      return;
+    }
+    if (headers[protocol.notRun] !== undefined) {
+      message.resume();
+      noteOutcome(true);
+      finishRefused(key, 'target-refused');
       return;
     }
     // An answer of another request, or one that no target made, must not reach the caller.
--- a/packages/proxy/src/mesh/targets.ts
+++ b/packages/proxy/src/mesh/targets.ts
@@ -24,8 +24,6 @@
   noteSilent(hostId: string, since: number): void;
   noteHeard(hostId: string): void;
   endpoint(hostId: string): core.Endpoint | undefined;
-  /** Hosts whose target serves the service now. */
-  count(service: string): number;
 }
 
 interface Entry {
@@ -144,6 +142,5 @@
       const info = entries.get(hostId)?.member.info;
       return info ? { address: info.address, port: info.peerPort } : undefined;
     },
-    count: (service) => listCallable(service).length,
   };
 }
