Route mesh: log what an attempt waited for when it is given up

An attempt that ended as not acknowledged, one that its caller's host cancelled while the target ran it, and one that no retry budget was left for looked alike in the logs: a line with result=broken and a 502.

No decision changes.

--- a/packages/proxy/src/mesh/call-log.ts
+++ b/packages/proxy/src/mesh/call-log.ts
@@ -12,12 +12,14 @@
   attempts: number;
   /** Number of hosts that were tried. */
   tried: number;
+  /** Retries and hedged requests that the retry budget did not allow. */
+  deniedRetries: number;
 }
 
 export interface CallLog {
   logAttempt(
     call: callRunner.Call,
-    details: { hostId: string; result: string; cause: string },
+    details: { hostId: string; result: string; cause: string; tookMs?: number },
   ): void;
   logCall(call: callRunner.Call, summary: CallSummary): void;
 }
@@ -49,8 +51,14 @@
   };
 
   return {
-    logAttempt(call, { hostId, result, cause }) {
-      log.info('attempt', { call: call.callId, host: hostId, result, cause });
+    logAttempt(call, { hostId, result, cause, tookMs }) {
+      log.info('attempt', {
+        call: call.callId,
+        host: hostId,
+        result,
+        cause,
+        tookMs: tookMs === undefined ? undefined : Math.round(tookMs),
+      });
     },
     logCall(call, summary) {
       const isSuccessful =
@@ -71,6 +79,7 @@
         tookMs: Math.round(summary.tookMs),
         attempts: summary.attempts,
         tried: summary.tried,
+        deniedRetries: summary.deniedRetries || undefined,
         omitted: omittedCalls || undefined,
       });
       omittedCalls = 0;
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -109,12 +109,21 @@
     const effectiveDeadlineAt = Math.min(call.deadlineAt, call.receivedAt + route.timeoutMs);
     const objectiveAt = Math.min(effectiveDeadlineAt, call.receivedAt + route.objectiveMs);
     let wasLateAllowed = false;
+    let deniedRetries = 0;
+    const takeRetry = (): boolean => {
+      const isAllowed = retryBudget.takeRetry();
+      if (!isAllowed) {
+        deniedRetries += 1;
+        metrics.count('retries_denied_total', { service });
+      }
+      return isAllowed;
+    };
     const stateMachine = mesh.createCallStateMachine({
       isRepeatable: route.isRepeatable,
       maxAttempts: route.maxAttempts,
       maxRefusals: constants.MAX_REFUSALS,
       maxLateRefusals: constants.MAX_LATE_REFUSALS,
-      takeRetry: () => retryBudget.takeRetry(),
+      takeRetry,
     });
     const attempts = callAttempts.createOpenAttempts((hostId) => targets.recordAttemptEnd(hostId));
     let streamedAttempt: number | undefined;
@@ -137,6 +146,7 @@
         hostId: lastHostId,
         attempts: stateMachine.countAttemptsRun(),
         tried: triedHosts.size,
+        deniedRetries,
       });
     };
 
@@ -199,12 +209,22 @@
         if (reason === 'unreachable') targets.recordUnreachable(hostId, openedAt);
         if (reason === 'full') fullHosts.add(hostId);
         if (!attempts.settle(attemptNumber)) return;
-        logger.logAttempt(call, { hostId, result: 'refused', cause: reason });
+        logger.logAttempt(call, {
+          hostId,
+          result: 'refused',
+          cause: reason,
+          tookMs: clock.monotonic() - openedAt,
+        });
         handleEvent({ type: 'refused', reason, retryAfterMs });
       },
       onBroken(cause) {
         if (!attempts.settle(attemptNumber)) return;
-        logger.logAttempt(call, { hostId, result: 'broken', cause });
+        logger.logAttempt(call, {
+          hostId,
+          result: 'broken',
+          cause,
+          tookMs: clock.monotonic() - openedAt,
+        });
         handleEvent({ type: 'broken' });
       },
     });
--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -41,6 +41,7 @@
   /** Request to the target; undefined until it has been sent. */
   request: http.ClientRequest | undefined;
   instanceId: string;
+  receivedAt: number;
   sentAt: number;
   isCancelled: boolean;
 }
@@ -280,6 +281,12 @@
     const entry = openAttempts.get(key);
     if (!entry || entry.isCancelled) return false;
     entry.isCancelled = true;
+    const now = clock.monotonic();
+    log.info('attempt-abandoned', {
+      call: entry.attempt.callId,
+      openMs: Math.round(now - entry.receivedAt),
+      ranMs: entry.request ? Math.round(now - entry.sentAt) : undefined,
+    });
     if (queue.cancel(key)) {
       openAttempts.delete(key);
       return true;
@@ -312,6 +319,7 @@
         handler,
         request: undefined,
         instanceId: '',
+        receivedAt: now,
         sentAt: now,
         isCancelled: false,
       });
--- a/packages/proxy/src/mesh/peer-client.ts
+++ b/packages/proxy/src/mesh/peer-client.ts
@@ -50,7 +50,7 @@
  * const peers = createPeerClient(ctx);
  */
 export function createPeerClient(ctx: context.MeshContext): PeerClient {
-  const { clock, metrics, protocol } = ctx;
+  const { clock, log, metrics, protocol } = ctx;
   const agent = keepAliveAgent.createAgent(constants.PEER_CLIENT_IDLE_TIMEOUT_MS);
   const acknowledgementTimeouts = new Map<string, mesh.AckTimeout>();
 
@@ -72,6 +72,7 @@
     let hasEnded = false;
     let isBodySent = attempt.isRepeatable;
     let isConnected = false;
+    let connectMs = 0;
 
     const request = http.request({
       agent,
@@ -110,10 +111,19 @@
     };
 
     const acknowledgementTimeout = getAcknowledgementTimeout(endpoint);
+    const timeoutMs = constants.CONNECT_TIMEOUT_MS + acknowledgementTimeout.getTimeoutMs();
     const acknowledgementTimer = setTimeout(() => {
+      log.info('attempt-unacknowledged', {
+        call: attempt.callId,
+        host: endpoint.address,
+        timeoutMs: Math.round(timeoutMs),
+        timerLateMs: Math.round(clock.monotonic() - now - timeoutMs),
+        connectMs: isConnected ? Math.round(connectMs) : undefined,
+        bodySent: isBodySent,
+      });
       acknowledgementTimeout.recordTimeout();
       fail('not-acknowledged');
-    }, constants.CONNECT_TIMEOUT_MS + acknowledgementTimeout.getTimeoutMs());
+    }, timeoutMs);
     let isAcknowledged = false;
     const recordAcknowledgement = (): void => {
       clearTimeout(acknowledgementTimer);
@@ -126,6 +136,7 @@
       constants.CONNECT_TIMEOUT_MS,
       () => {
         isConnected = true;
+        connectMs = clock.monotonic() - now;
       },
       () => fail('connect-timeout'),
     );
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -10,6 +10,7 @@
 import * as gossipMembers from './gossip-members.js';
 import * as peerClient from './peer-client.js';
 import * as peerServer from './peer-server.js';
+import * as stallMonitors from './stall-monitor.js';
 import * as auxiliaryServers from './auxiliary-servers.js';
 import * as localTarget from './local-target.js';
 import * as targetTable from './target-table.js';
@@ -49,6 +50,7 @@
   let isRefusingPeers = false;
   let hasAnnouncedReady = false;
 
+  const stallMonitor = stallMonitors.createStallMonitor(ctx);
   const targets = targetTable.createTargetTable(ctx);
   const peers = peerClient.createPeerClient(ctx);
 
@@ -166,6 +168,7 @@
         ...localServers.map((server) => server.start()),
       ]);
       configuration.start();
+      stallMonitor.start();
     },
     async stop() {
       if (isStopping) return;
@@ -196,6 +199,7 @@
       peers.close();
       target.stop();
       members.stop();
+      stallMonitor.stop();
       metrics.stop();
     },
   };
