--- a/packages/stand-ins/src/store/store-server.ts
+++ b/packages/stand-ins/src/store/store-server.ts
@@ -26,6 +26,8 @@
   topics: topicStore.TopicStore;
   /** Number of handled requests by path; includes those whose response is dropped. */
   requestCounts: Map<string, number>;
+  /** Bytes of the response bodies by path. */
+  sentBytes: Map<string, number>;
   close(): Promise<void>;
 }
 
@@ -35,6 +37,8 @@
 const HTTP_FORBIDDEN = 403;
 const HTTP_UNAVAILABLE = 503;
 const MAX_WAIT_MS = 30_000;
+const DEFAULT_MAX_KB = 1_024;
+const BYTES_PER_KB = 1_024;
 /** Page size of `log-newest`. */
 const MAX_PAGE_RECORDS = 500;
 const READ_HEADER_BYTES = 16;
@@ -85,6 +89,7 @@
     shouldDropResponses: false,
   };
   const requestCounts = new Map<string, number>();
+  const sentBytes = new Map<string, number>();
   const sockets = new Set<net.Socket>();
 
   const waitForAppend = async (topic: string, waitMs: number): Promise<void> => {
@@ -111,7 +116,8 @@
       const from = Number(query.get('from'));
       const waitMs = Math.min(MAX_WAIT_MS, Number(query.get('waitMs') ?? 0));
       if (topics.getBounds(topic).endOffset <= from) await waitForAppend(topic, waitMs);
-      const records = topics.read(topic, from);
+      const maxBytes = Number(query.get('maxKb') ?? DEFAULT_MAX_KB) * BYTES_PER_KB;
+      const records = topics.read(topic, from, maxBytes);
       const { firstOffset, endOffset } = topics.getBounds(topic);
       if (!records) return { status: HTTP_GONE, body: { firstOffset } };
       return { status: HTTP_OK, body: encodeReadResponse(endOffset, firstOffset, records) };
@@ -156,6 +162,7 @@
     requestCounts.set(url.pathname, (requestCounts.get(url.pathname) ?? 0) + 1);
     if (faults.shouldDropResponses && request.method === 'POST') return;
     const bytes = Buffer.isBuffer(result.body) ? result.body : JSON.stringify(result.body);
+    sentBytes.set(url.pathname, (sentBytes.get(url.pathname) ?? 0) + Buffer.byteLength(bytes));
     response.writeHead(result.status).end(bytes);
   };
 
@@ -174,6 +181,7 @@
     faults,
     topics,
     requestCounts,
+    sentBytes,
     close: () =>
       new Promise((resolve) => {
         server.close(() => resolve());
--- a/packages/stand-ins/src/store/topic-store.ts
+++ b/packages/stand-ins/src/store/topic-store.ts
@@ -15,8 +15,11 @@
 /** Topics of one store: records by offset, and the newest record of each key in keyed topics. */
 export interface TopicStore {
   append(topic: string, records: readonly Buffer[]): { offset: number; endOffset: number };
-  /** Returns the records from an offset on, or undefined when some of them were trimmed. */
-  read(topic: string, from: number): Buffer[] | undefined;
+  /**
+   * Returns the records from an offset on, up to `maxBytes` but at least one, or undefined when some
+   * of them were trimmed.
+   */
+  read(topic: string, from: number, maxBytes: number): Buffer[] | undefined;
   getBounds(topic: string): { firstOffset: number; endOffset: number };
   listNewest(topic: string): NewestRecord[];
   /** Drops the records before an offset; the newest record of each key is kept. */
@@ -88,10 +91,14 @@
       pendingListeners.forEach((listener) => listener());
       return { offset, endOffset: getEndOffset(topic) };
     },
-    read(name, from) {
+    read(name, from, maxBytes) {
       const topic = getOrCreateTopic(name);
       if (from < topic.firstOffset) return undefined;
-      return topic.records.slice(from - topic.firstOffset);
+      let bytes = 0;
+      return topic.records.slice(from - topic.firstOffset).filter((record, index) => {
+        bytes += record.length;
+        return index === 0 || bytes <= maxBytes;
+      });
     },
     getBounds(name) {
       const topic = getOrCreateTopic(name);
