Mesh tests: reads given up for a late acknowledgement, as known failures

Callers saw a 502 without a signature while the target was running their read, or shortly before it started to.

The proxy beside the caller ends an attempt that has not been acknowledged within CONNECT_TIMEOUT_MS plus the adaptive time-out, 550 ms initially. When no other target is left, the call is answered 502. The tests have one target, behind a link that delays what its proxy sends by 1.5 s, or pause the caller's proxy for 800 ms with SIGSTOP.

Stand-ins: a fleet can have links in front of its proxies (peerPortOffset); a fault link delays both directions separately, keeps the order of the data when the delay changes, and delivers data in transit before the end of its connection.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -8,6 +8,7 @@
   type MeshHost,
 } from './mesh/mesh-fleet.js';
 export { startMeshTarget, type MeshTarget, type CallRun } from './mesh/mesh-target.js';
-export { createMeshConfig } from './mesh/mesh-config.js';
+export { createMeshConfig, type MeshConfigOptions } from './mesh/mesh-config.js';
+export { startFaultLink, type FaultLink, type LinkFaults } from './mesh-soak/fault-link.js';
 export { encodeKeyedRecord, appendConfig } from './store/keyed-record.js';
 export { startStoreServer, type StoreFaults, type StoreServer } from './store/store-server.js';
--- a/packages/stand-ins/src/mesh-soak/fault-link.ts
+++ b/packages/stand-ins/src/mesh-soak/fault-link.ts
@@ -1,10 +1,13 @@
 import * as net from 'node:net';
 import * as resetSocket from '../reset-socket.js';
+import * as delayLine from './delay-line.js';
 
 /** Faults of the connections through a link; all are off initially. */
 export interface LinkFaults {
   /** Delay of data sent to the server, in milliseconds. */
   delayMs: number;
+  /** Delay of data sent by the server, in milliseconds. */
+  responseDelayMs: number;
   /** Drops data sent by the server. */
   shouldDropResponses: boolean;
   /** Drops data in both directions; connections stay open. */
@@ -34,34 +37,45 @@
  * link.faults.delayMs = 50;
  */
 export async function startFaultLink(from: Endpoint, to: Endpoint): Promise<FaultLink> {
-  const faults: LinkFaults = { delayMs: 0, shouldDropResponses: false, isBlackholed: false };
+  const faults: LinkFaults = {
+    delayMs: 0,
+    responseDelayMs: 0,
+    shouldDropResponses: false,
+    isBlackholed: false,
+  };
   const openConnections = new Map<net.Socket, net.Socket>();
   const blackholed = new Set<net.Socket>();
 
   const server = net.createServer((client) => {
     const upstream = net.connect(to.port, to.address);
     openConnections.set(client, upstream);
+    const requests = delayLine.createDelayLine(() => faults.delayMs);
+    const responses = delayLine.createDelayLine(() => faults.responseDelayMs);
     const shouldDropData = (): boolean => faults.isBlackholed || blackholed.has(client);
     client.on('data', (chunk: Buffer) => {
-      if (shouldDropData()) return;
-      if (faults.delayMs > 0) setTimeout(() => upstream.write(chunk), faults.delayMs);
-      else upstream.write(chunk);
+      if (!shouldDropData()) requests.add(() => upstream.write(chunk));
     });
     upstream.on('data', (chunk: Buffer) => {
-      if (!shouldDropData() && !faults.shouldDropResponses) client.write(chunk);
+      if (!shouldDropData() && !faults.shouldDropResponses)
+        responses.add(() => client.write(chunk));
     });
-    client.on('end', () => upstream.end());
+    client.on('end', () => requests.add(() => upstream.end()));
     upstream.on('end', () => {
-      if (!shouldDropData()) client.end();
+      if (!shouldDropData()) responses.add(() => client.end());
     });
-    const endBoth = (): void => {
+    // Data in transit arrives before the end of its connection.
+    client.on('error', () => undefined);
+    client.on('close', () => {
       openConnections.delete(client);
-      if (upstream.errored) resetSocket.resetSocket(client);
-      client.destroy();
-      upstream.destroy();
-    };
-    client.on('error', () => undefined).on('close', endBoth);
-    upstream.on('error', () => undefined).on('close', endBoth);
+      requests.add(() => upstream.destroy());
+    });
+    upstream.on('error', () => undefined);
+    upstream.on('close', () =>
+      responses.add(() => {
+        if (upstream.errored) resetSocket.resetSocket(client);
+        client.destroy();
+      }),
+    );
   });
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject).listen(from.port, from.address, resolve);
@@ -84,7 +98,10 @@
     close: () =>
       new Promise((resolve) => {
         server.close(() => resolve());
-        [...openConnections.keys()].forEach((client) => client.destroy());
+        [...openConnections].forEach(([client, upstream]) => {
+          client.destroy();
+          upstream.destroy();
+        });
       }),
   };
 }
--- a/packages/stand-ins/src/mesh/mesh-config.ts
+++ b/packages/stand-ins/src/mesh/mesh-config.ts
@@ -8,6 +8,8 @@
   /** Path prefixes of additional repeatable routes to `readService`. */
   extraPrefixes?: readonly string[];
   timeoutMs?: number;
+  targetLatencyMs?: number;
+  maxAttempts?: number;
 }
 
 /**
@@ -22,8 +24,8 @@
   const baseRoute = {
     host: 'shop.example',
     timeoutMs: options.timeoutMs ?? 1_500,
-    targetLatencyMs: 600,
-    maxAttempts: 2,
+    targetLatencyMs: options.targetLatencyMs ?? 600,
+    maxAttempts: options.maxAttempts ?? 2,
   };
   const readRoute = { ...baseRoute, kind: 'safe', priority: 2, service: readService };
   return {
--- a/packages/stand-ins/src/mesh/mesh-fleet.ts
+++ b/packages/stand-ins/src/mesh/mesh-fleet.ts
@@ -61,6 +61,8 @@
   graceMs?: number;
   /** Offset of a target's own port from the announced port, at which a link then listens. */
   targetPortOffset?: number;
+  /** Offset of a proxy's own TCP port for peers from the announced one, at which a link listens. */
+  peerPortOffset?: number;
   /** Script that each mesh process runs; defaults to the built bundle. */
   program?: string;
 }
@@ -68,6 +70,7 @@
 const BUNDLE_FILE = url.fileURLToPath(
   new URL('../../../../target/figshed-mesh.cjs', import.meta.url),
 );
+const PEER_PORT_SHIFT_FILE = new URL('./peer-port-shift.js', import.meta.url).href;
 const BASE_PORT = 21_000;
 const READY_TIMEOUT_MS = 15_000;
 const POLL_MS = 50;
@@ -135,10 +138,21 @@
       lines: [],
       child: undefined,
       start() {
-        const child = childProcess.spawn(process.execPath, [options.program ?? BUNDLE_FILE], {
-          env: { PATH: process.env.PATH, FIGSHED_BOOT: settingsFile },
-          stdio: ['ignore', 'pipe', 'pipe'],
-        });
+        const program = options.program ?? BUNDLE_FILE;
+        const { peerPortOffset } = options;
+        const child = childProcess.spawn(
+          process.execPath,
+          peerPortOffset === undefined ? [program] : ['--import', PEER_PORT_SHIFT_FILE, program],
+          {
+            env: {
+              PATH: process.env.PATH,
+              FIGSHED_BOOT: settingsFile,
+              PEER_PORT: String(ports.peer),
+              PEER_PORT_OFFSET: String(peerPortOffset ?? 0),
+            },
+            stdio: ['ignore', 'pipe', 'pipe'],
+          },
+        );
         host.child = child;
         [child.stdout, child.stderr].forEach((stream) => {
           stream.setEncoding('utf8');
