Calls: keep an attempt open when its acknowledgement is late

What callers saw: a 502 without a signature 0.55 to 1.15 s after a read was sent, while its target was running it or was about to.

Cause: the caller's host treated an attempt that was not acknowledged in time as failed. If the route's attempts, the retry budget or the targets were used up, the failure of that attempt became the response, and the request to the peer was destroyed, which cancelled the run.

A late acknowledgement now only suggests a second attempt: the call is also sent to another target if the route and the budget allow it, and the first response counts. The open attempt ends with its response, the loss of its connection or the deadline. An attempt whose body has not been sent still fails at once, as it is certain not to run.

--- a/packages/core/src/mesh/call-machine.ts
+++ b/packages/core/src/mesh/call-machine.ts
@@ -15,6 +15,8 @@
   | { type: 'refused'; reason: types.RefusalReason; retryAfterMs: number }
   /** The attempt ended without a response; it may have run. */
   | { type: 'broken' }
+  /** The host of an open attempt has not acknowledged it in time; the attempt may still run. */
+  | { type: 'unacknowledged' }
   /** The only open attempt has exceeded the hedge delay of its route. */
   | { type: 'overdue' }
   /** A response has been received completely, or its stream to the caller has ended. */
@@ -130,6 +132,14 @@
   const tryTakeRetry = (): boolean =>
     policy.isRepeatable && attemptsRun < policy.maxAttempts && policy.takeRetry();
 
+  /** Sends an attempt beside the open ones, whose responses remain welcome. */
+  const trySendInParallel = (): CallEffect[] => {
+    const mayRunAgain = policy.isRepeatable && attemptsRun + openAttempts < policy.maxAttempts;
+    if (!mayRunAgain || !policy.takeRetry()) return [];
+    isHedged = true;
+    return send();
+  };
+
   const cancelOpenAttempts = (): CallEffect[] => (openAttempts > 0 ? [{ type: 'cancel' }] : []);
 
   const handlers: Handlers = {
@@ -158,14 +168,11 @@
       if (openAttempts > 0) return [];
       return tryTakeRetry() ? send() : rejectCall();
     },
+    unacknowledged: () => (isStreaming ? [] : trySendInParallel()),
     overdue() {
       // A late call is expected to wait; a hedge would only take capacity in a second queue.
-      const mayHedge =
-        policy.isRepeatable && !isLate && !isStreaming && !isHedged && openAttempts === 1;
-      if (!mayHedge || attemptsRun + openAttempts >= policy.maxAttempts || !policy.takeRetry())
-        return [];
-      isHedged = true;
-      return send();
+      const mayHedge = !isLate && !isStreaming && !isHedged && openAttempts === 1;
+      return mayHedge ? trySendInParallel() : [];
     },
     answered({ isFailure }) {
       openAttempts -= 1;
--- a/packages/core/test/mesh-call-machine.test.ts
+++ b/packages/core/test/mesh-call-machine.test.ts
@@ -40,6 +40,7 @@
   fc.boolean().map((isFailure): CallEvent => ({ type: 'answered', isFailure })),
   fc.constant<CallEvent>({ type: 'no-target' }),
   fc.constant<CallEvent>({ type: 'overdue' }),
+  fc.constant<CallEvent>({ type: 'unacknowledged' }),
   fc.boolean().map((isUnsent): CallEvent => ({ type: 'timeout', isUnsent })),
   fc.constant<CallEvent>({ type: 'caller-left' }),
 );
@@ -168,6 +169,29 @@
     ]);
   });
 
+  it('waits for an unacknowledged attempt that cannot be sent elsewhere', () => {
+    [createPolicy({ takeRetry: () => false }), createPolicy({ maxAttempts: 1 })].forEach(
+      (policy) => {
+        const machine = mesh.createCallStateMachine(policy);
+        machine.handle({ type: 'start' });
+        assert.deepEqual(machine.handle({ type: 'unacknowledged' }), []);
+        assert.deepEqual(machine.handle({ type: 'answered', isFailure: false }), [
+          { type: 'deliver' },
+        ]);
+      },
+    );
+  });
+
+  it('delivers the response of an unacknowledged attempt when the second attempt fails', () => {
+    const machine = mesh.createCallStateMachine(createPolicy());
+    machine.handle({ type: 'start' });
+    assert.deepEqual(machine.handle({ type: 'unacknowledged' }), [
+      { type: 'send', mayBeLate: false },
+    ]);
+    assert.deepEqual(machine.handle({ type: 'broken' }), []);
+    assert.deepEqual(machine.handle({ type: 'answered', isFailure: false }), [{ type: 'deliver' }]);
+  });
+
   it('does not hedge a non-repeatable call, or any call without retry budget', () => {
     [createPolicy({ isRepeatable: false }), createPolicy({ takeRetry: () => false })].forEach(
       (policy) => {
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -200,6 +200,9 @@
     ): peerClient.PeerAttemptHandler => ({
       provideBody: () => Promise.resolve(attempts.has(attemptNumber) ? call.body : undefined),
       onHostResponded: () => targets.recordResponse(hostId),
+      onUnacknowledged() {
+        if (attempts.has(attemptNumber)) handleEvent({ type: 'unacknowledged' });
+      },
       onLoad: (load) => targets.recordLoad(hostId, load),
       onResponse(upstream) {
         if (attempts.has(attemptNumber)) receiveResponse(upstream, attemptNumber, hostId);
--- a/packages/proxy/src/mesh/constants.ts
+++ b/packages/proxy/src/mesh/constants.ts
@@ -5,8 +5,9 @@
 export const CONNECT_TIMEOUT_MS = 250;
 export const TARGET_CONNECT_TIMEOUT_MS = 500;
 /**
- * Lower bound of the adaptive acknowledgement time-out. An attempt fails if the peer has not
- * acknowledged it within that time-out plus CONNECT_TIMEOUT_MS.
+ * Lower bound of the adaptive acknowledgement time-out. If the peer has not acknowledged an attempt
+ * within that time-out plus CONNECT_TIMEOUT_MS, the call may be sent to another host as well; an
+ * attempt whose body has not been sent fails.
  */
 export const MIN_ACKNOWLEDGEMENT_TIMEOUT_MS = 300;
 /**
--- a/packages/proxy/src/mesh/peer-client.ts
+++ b/packages/proxy/src/mesh/peer-client.ts
@@ -16,6 +16,11 @@
 export interface PeerAttemptHandler extends types.AttemptHandler {
   /** The host acknowledged the attempt or sent a response. */
   onHostResponded(): void;
+  /**
+   * The host has not acknowledged the attempt in time. It may be running and its response may still
+   * arrive, so the attempt stays open.
+   */
+  onUnacknowledged(): void;
   onLoad(load: mesh.TargetLoad): void;
 }
 
@@ -122,7 +127,8 @@
         bodySent: isBodySent,
       });
       acknowledgementTimeout.recordTimeout();
-      fail('not-acknowledged');
+      if (isConnected && isBodySent) handler.onUnacknowledged();
+      else fail('not-acknowledged');
     }, timeoutMs);
     let isAcknowledged = false;
     const recordAcknowledgement = (): void => {
