Mesh tests: more ways in which a call is given up for a late acknowledgement

Callers saw a 502 without a signature for reads that a target was running or ran later.

With an empty retry budget, the first time-out is final although another target has not been tried. The budget of one process holds one retry in a large fleet, whatever the reserve (`getRetryBudget` in call-runner.ts).

Stand-ins: SIGUSR2 can block the event loop of a proxy (blockMs); settings of the proxies of a fleet can be replaced; a fault link counts dropped bytes.

--- a/packages/stand-ins/src/mesh-soak/fault-link.ts
+++ b/packages/stand-ins/src/mesh-soak/fault-link.ts
@@ -17,6 +17,8 @@
 /** A TCP proxy on the loopback interface that injects faults into the connections through it. */
 export interface FaultLink {
   faults: LinkFaults;
+  /** Bytes dropped so far, in both directions. */
+  getDroppedBytes(): number;
   /** Resets every open connection and returns how many there were. */
   resetConnections(): number;
   /** Drops all further data of the open connections and returns their number; new ones work. */
@@ -45,6 +47,7 @@
   };
   const openConnections = new Map<net.Socket, net.Socket>();
   const blackholed = new Set<net.Socket>();
+  let droppedBytes = 0;
 
   const server = net.createServer((client) => {
     const upstream = net.connect(to.port, to.address);
@@ -53,11 +56,12 @@
     const responses = delayLine.createDelayLine(() => faults.responseDelayMs);
     const shouldDropData = (): boolean => faults.isBlackholed || blackholed.has(client);
     client.on('data', (chunk: Buffer) => {
-      if (!shouldDropData()) requests.add(() => upstream.write(chunk));
+      if (shouldDropData()) droppedBytes += chunk.byteLength;
+      else requests.add(() => upstream.write(chunk));
     });
     upstream.on('data', (chunk: Buffer) => {
-      if (!shouldDropData() && !faults.shouldDropResponses)
-        responses.add(() => client.write(chunk));
+      if (shouldDropData() || faults.shouldDropResponses) droppedBytes += chunk.byteLength;
+      else responses.add(() => client.write(chunk));
     });
     client.on('end', () => requests.add(() => upstream.end()));
     upstream.on('end', () => {
@@ -83,6 +87,7 @@
 
   return {
     faults,
+    getDroppedBytes: () => droppedBytes,
     resetConnections() {
       const count = openConnections.size;
       [...openConnections].forEach(([client, upstream]) => {
--- a/packages/stand-ins/src/mesh/mesh-fleet.ts
+++ b/packages/stand-ins/src/mesh/mesh-fleet.ts
@@ -63,6 +63,10 @@
   targetPortOffset?: number;
   /** Offset of a proxy's own TCP port for peers from the announced one, at which a link listens. */
   peerPortOffset?: number;
+  /** Time for which SIGUSR2 blocks the event loop of a proxy. */
+  blockMs?: number;
+  /** Settings of all proxies that replace the defaults. */
+  settings?: object;
   /** Script that each mesh process runs; defaults to the built bundle. */
   program?: string;
 }
@@ -71,6 +75,7 @@
   new URL('../../../../target/figshed-mesh.cjs', import.meta.url),
 );
 const PEER_PORT_SHIFT_FILE = new URL('./peer-port-shift.js', import.meta.url).href;
+const EVENT_LOOP_BLOCK_FILE = new URL('./event-loop-block.js', import.meta.url).href;
 const BASE_PORT = 21_000;
 const READY_TIMEOUT_MS = 15_000;
 const POLL_MS = 50;
@@ -117,6 +122,7 @@
         metricsPort: ports.metrics,
         graceMs: options.graceMs ?? 6_000,
         store: `127.0.0.1:${store.port}`,
+        ...options.settings,
       }),
     );
     const target = await meshTarget.startMeshTarget({
@@ -138,17 +144,21 @@
       lines: [],
       child: undefined,
       start() {
-        const program = options.program ?? BUNDLE_FILE;
-        const { peerPortOffset } = options;
+        const { peerPortOffset, blockMs } = options;
         const child = childProcess.spawn(
           process.execPath,
-          peerPortOffset === undefined ? [program] : ['--import', PEER_PORT_SHIFT_FILE, program],
+          [
+            ...(peerPortOffset === undefined ? [] : ['--import', PEER_PORT_SHIFT_FILE]),
+            ...(blockMs === undefined ? [] : ['--import', EVENT_LOOP_BLOCK_FILE]),
+            options.program ?? BUNDLE_FILE,
+          ],
           {
             env: {
               PATH: process.env.PATH,
               FIGSHED_BOOT: settingsFile,
               PEER_PORT: String(ports.peer),
               PEER_PORT_OFFSET: String(peerPortOffset ?? 0),
+              BLOCK_MS: String(blockMs ?? 0),
             },
             stdio: ['ignore', 'pipe', 'pipe'],
           },
