Stop: wait for responses to peers that are queued for the link

What callers saw: a 502 for a read that its target had finished, when the process beside the target stopped.

Cause: a large response is read from the target at once and written when the link has room. The attempt has then ended at the target, which is all that the stop waited for, so the connections of queued responses were closed with grace period left.

Evidence: four responses of 60 kB behind a link of 2 Mbit/s, finished 3.4 s after SIGTERM: one delivered, three 502 after 3,449 ms, 2.2 s before the end of the grace period.

The peer server counts the attempts whose response is not written completely, and the stop waits for them as well. The stopped line says what was left open.

--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -18,6 +18,15 @@
   zlib.gzip,
 );
 
+/** HTTP server for the attempts of other proxies. */
+export interface PeerServer {
+  start(): Promise<void>;
+  /** Returns the attempts whose response has not been written completely. */
+  countOpenAttempts(): number;
+  /** Closes all connections at once. */
+  destroy(): void;
+}
+
 export interface PeerServerInput {
   ctx: context.MeshContext;
   target: localTarget.LocalTarget;
@@ -28,7 +37,7 @@
 
 /**
  * Creates the server that receives attempts from other proxies and runs them at the target on this
- * host; call `listen` with the peer port.
+ * host; it listens after `start`.
  *
  * A call that is not repeatable is sent with `Expect: 100-continue`. The server requests its body
  * only when a slot is free, so until then it is certain on both sides that the call has not run. If
@@ -36,9 +45,9 @@
  * the client distinguishes a slow target from a half-open connection.
  *
  * @example
- * createPeerServer(input).listen(7600, '10.0.0.1');
+ * await createPeerServer(input).start();
  */
-export function createPeerServer(input: PeerServerInput): http.Server {
+export function createPeerServer(input: PeerServerInput): PeerServer {
   const { ctx, target, getConfig, isStopping, byteBudget } = input;
   const { clock, settings } = ctx;
   const pacer = mesh.createLinkPacer({
@@ -46,6 +55,8 @@
     linkMbps: settings.linkMbps,
   });
 
+  let openAttempts = 0;
+
   /** Cached because many peers fetch a new version at the same time. */
   let compressed: { version: number; bytes: Promise<Buffer> } | undefined;
   const compress = (config: mesh.MeshConfig): Promise<Buffer> => {
@@ -181,6 +192,10 @@
       );
       return;
     }
+    openAttempts += 1;
+    response.once('close', () => {
+      openAttempts -= 1;
+    });
     const now = clock.monotonic();
     const earlyBody = isExpectingContinue ? undefined : bodyReader.readBody(request, byteBudget);
     earlyBody?.catch(() => undefined);
@@ -252,5 +267,17 @@
     (request, response) => handleRequest(request, response, false),
   );
   server.on('checkContinue', (request, response) => handleRequest(request, response, true));
-  return server;
+
+  return {
+    async start() {
+      await new Promise<void>((resolve, reject) => {
+        server.once('error', reject).listen(settings.peerPort, settings.address, resolve);
+      });
+    },
+    countOpenAttempts: () => openAttempts,
+    destroy() {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
 }
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -137,7 +137,7 @@
     auxiliaryServers.createReadyServer(ctx, isReady),
     auxiliaryServers.createAnnouncementServer(ctx, adapter.announcementParser, target, byteBudget),
   ];
-  const peerHttpServer = peerServer.createPeerServer({
+  const peerAttempts = peerServer.createPeerServer({
     ctx,
     target,
     getConfig: () => routes?.config,
@@ -145,11 +145,12 @@
     byteBudget,
   });
 
+  /** A response to a peer may still be waiting for the link after its attempt has ended. */
+  const isIdle = (): boolean =>
+    callers.countOpenCalls() + target.countOpenAttempts() + peerAttempts.countOpenAttempts() === 0;
+
   const waitUntilIdle = async (deadlineAt: number): Promise<void> => {
-    while (
-      callers.countOpenCalls() + target.countOpenAttempts() > 0 &&
-      clock.monotonic() < deadlineAt
-    ) {
+    while (!isIdle() && clock.monotonic() < deadlineAt) {
       // eslint-disable-next-line no-await-in-loop -- a poll
       await timers.setTimeout(STOP_POLL_MS);
     }
@@ -158,9 +159,7 @@
   return {
     async start() {
       log.info('start', { service: settings.service, dataCentre: settings.dataCentre });
-      await new Promise<void>((resolve, reject) => {
-        peerHttpServer.once('error', reject).listen(settings.peerPort, settings.address, resolve);
-      });
+      await peerAttempts.start();
       await Promise.all([
         metrics.start(settings.address, settings.metricsPort),
         callers.start(),
@@ -190,12 +189,15 @@
       await waitUntilIdle(deadlineAt);
       members.leave();
       configuration.stop();
-      log.info('stopped', { tookMs: Math.round(clock.monotonic() - stoppedAt) });
+      log.info('stopped', {
+        tookMs: Math.round(clock.monotonic() - stoppedAt),
+        openCalls: callers.countOpenCalls(),
+        attempts: target.countOpenAttempts() + peerAttempts.countOpenAttempts(),
+      });
       log.flush();
       callers.destroy();
       localServers.forEach((server) => server.stop());
-      peerHttpServer.close();
-      peerHttpServer.closeAllConnections();
+      peerAttempts.destroy();
       peers.close();
       target.stop();
       members.stop();
