Orders: refuse an attempt whose body does not arrive in time as not run

What callers saw: a 502, which promises nothing, for an order that no target had received.

Cause: the host that asked for the body of an order with 100-continue closed the connection when the body took more than 600 ms. The caller's host had sent the body and could not know that it was never used.

The host now refuses the attempt, and the order can be sent to another target or is refused with 503. The body cannot be used after the time-out, so the refusal is final.

--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -263,12 +263,11 @@
     entry.handler
       .provideBody()
       .then((body) => {
-        if (entry.isCancelled || !body) {
+        if (entry.isCancelled) {
           openAttempts.delete(key);
           releaseSlot(key);
-          return;
-        }
-        send(key, entry, body);
+        } else if (body) send(key, entry, body);
+        else refuseStarted(key, 'unreachable');
       })
       .catch((error: Error) => {
         openAttempts.delete(key);
--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -1,4 +1,5 @@
 import * as http from 'node:http';
+import * as timers from 'node:timers/promises';
 import * as util from 'node:util';
 import * as zlib from 'node:zlib';
 import * as mesh from '@figshed/core/mesh';
@@ -165,6 +166,7 @@
         constants.HTTP.unavailable,
         meshHeaders.formatRefusal(reason, retryAfterMs),
       );
+      // Reads a late body to its end, so that closing the connection does not reset the response.
       request.resume();
     },
     onBroken(cause) {
@@ -209,14 +211,17 @@
       if (earlyBody) return earlyBody.catch(() => undefined);
       clearTimeout(acknowledgementTimer);
       response.writeContinue();
-      const bodyTimer = setTimeout(() => request.destroy(), constants.BODY_TIMEOUT_MS);
+      const timeout = new AbortController();
       try {
-        const body = await bodyReader.readBody(request, byteBudget);
+        const body = await Promise.race([
+          bodyReader.readBody(request, byteBudget),
+          timers.setTimeout(constants.BODY_TIMEOUT_MS, undefined, { signal: timeout.signal }),
+        ]);
         return isPeerDisconnected ? undefined : body;
       } catch {
         return undefined;
       } finally {
-        clearTimeout(bodyTimer);
+        timeout.abort();
       }
     };
     const attempt = target.run(
