Stand-ins, store: restore from an older copy, with an era in every response

restore() continues from a copy, frees the offsets of all later records, raises the header Store-Era by one and resets the connections unless told otherwise. A read beyond the end gets 410, as the platform states. A mesh fleet can start a further host.

--- a/packages/stand-ins/src/mesh/mesh-fleet.ts
+++ b/packages/stand-ins/src/mesh/mesh-fleet.ts
@@ -40,6 +40,8 @@
   store: storeServer.StoreServer;
   /** Appends a configuration to the store, as the operator does. */
   publish(config: object): void;
+  /** Adds a host; resolves once its process is spawned. */
+  addHost(options: MeshHostOptions): Promise<MeshHost>;
   /** Waits until every process is ready and has logged every target as up; rejects on time-out. */
   waitUntilReady(): Promise<void>;
   close(): Promise<void>;
@@ -189,6 +191,11 @@
     hosts,
     store,
     publish: (config) => keyedRecord.appendConfig(store.topics, config),
+    async addHost(hostOptions) {
+      const host = await startHost(hostOptions, hosts.length);
+      hosts.push(host);
+      return host;
+    },
     async waitUntilReady() {
       const deadline = Date.now() + READY_TIMEOUT_MS;
       while (Date.now() < deadline) {
--- a/packages/stand-ins/src/store/store-server.ts
+++ b/packages/stand-ins/src/store/store-server.ts
@@ -18,6 +18,8 @@
   delayMs: number;
   /** Whether appends and trims are carried out without a response. */
   shouldDropResponses: boolean;
+  /** Replaces the era in the response header; the header is left out for undefined. */
+  formatEra: ((era: number) => string | undefined) | undefined;
 }
 
 export interface StoreServer {
@@ -26,6 +28,8 @@
   topics: topicStore.TopicStore;
   /** Number of handled requests by path; includes those whose response is dropped. */
   requestCounts: Map<string, number>;
+  /** Resets all connections, continues from the copy and raises the era by one. */
+  restore(copy: topicStore.TopicCopy, options?: { shouldKeepConnections?: boolean }): void;
   close(): Promise<void>;
 }
 
@@ -83,7 +87,9 @@
     shouldResetConnections: false,
     delayMs: 0,
     shouldDropResponses: false,
+    formatEra: undefined,
   };
+  let era = 1;
   const requestCounts = new Map<string, number>();
   const sockets = new Set<net.Socket>();
 
@@ -110,7 +116,7 @@
       const topic = query.get('topic') ?? '';
       const from = Number(query.get('from'));
       const waitMs = Math.min(MAX_WAIT_MS, Number(query.get('waitMs') ?? 0));
-      if (topics.getBounds(topic).endOffset <= from) await waitForAppend(topic, waitMs);
+      if (topics.getBounds(topic).endOffset === from) await waitForAppend(topic, waitMs);
       const records = topics.read(topic, from);
       const { firstOffset, endOffset } = topics.getBounds(topic);
       if (!records) return { status: HTTP_GONE, body: { firstOffset } };
@@ -133,6 +139,11 @@
     },
   };
 
+  const createHeaders = (): http.OutgoingHttpHeaders => {
+    const value = faults.formatEra ? faults.formatEra(era) : String(era);
+    return value === undefined ? {} : { 'store-era': value };
+  };
+
   const handleRequest = async (
     request: http.IncomingMessage,
     response: http.ServerResponse,
@@ -146,7 +157,7 @@
     }
     if (faults.delayMs > 0) await timers.setTimeout(faults.delayMs);
     if (faults.isUnavailable) {
-      response.writeHead(HTTP_UNAVAILABLE).end();
+      response.writeHead(HTTP_UNAVAILABLE, createHeaders()).end();
       return;
     }
     const handler = handlers[`${request.method} ${url.pathname}`];
@@ -156,7 +167,7 @@
     requestCounts.set(url.pathname, (requestCounts.get(url.pathname) ?? 0) + 1);
     if (faults.shouldDropResponses && request.method === 'POST') return;
     const bytes = Buffer.isBuffer(result.body) ? result.body : JSON.stringify(result.body);
-    response.writeHead(result.status).end(bytes);
+    response.writeHead(result.status, createHeaders()).end(bytes);
   };
 
   const server = http.createServer((request, response) => {
@@ -174,6 +185,11 @@
     faults,
     topics,
     requestCounts,
+    restore(copy, options = {}) {
+      topics.restore(copy);
+      era += 1;
+      if (options.shouldKeepConnections !== true) sockets.forEach(resetSocket.resetSocket);
+    },
     close: () =>
       new Promise((resolve) => {
         server.close(() => resolve());
--- a/packages/stand-ins/src/store/topic-store.ts
+++ b/packages/stand-ins/src/store/topic-store.ts
@@ -1,6 +1,6 @@
 /** In-memory topics of the stand-in for the platform's store. */
 
-interface Topic {
+export interface Topic {
   records: Buffer[];
   firstOffset: number;
 }
@@ -12,10 +12,19 @@
   offset: number;
 }
 
+/** Topics and newest records at one moment. */
+export interface TopicCopy {
+  topics: Map<string, Topic>;
+  newestByTopic: Map<string, Map<string, NewestRecord>>;
+}
+
 /** Topics of one store: records by offset, and the newest record of each key in keyed topics. */
 export interface TopicStore {
   append(topic: string, records: readonly Buffer[]): { offset: number; endOffset: number };
-  /** Returns the records from an offset on, or undefined when some of them were trimmed. */
+  /**
+   * Returns the records from an offset on, or undefined when some of them were trimmed or the offset
+   * lies after the end.
+   */
   read(topic: string, from: number): Buffer[] | undefined;
   getBounds(topic: string): { firstOffset: number; endOffset: number };
   listNewest(topic: string): NewestRecord[];
@@ -23,6 +32,9 @@
   trim(topic: string, beforeOffset: number): void;
   /** Calls the listener once at the next append; returns a function that removes the listener. */
   onNextAppend(topic: string, listener: () => void): () => void;
+  createCopy(): TopicCopy;
+  /** Replaces all topics by those of a copy; later records are lost and their offsets free again. */
+  restore(copy: TopicCopy): void;
 }
 
 const LENGTH_PREFIX_BYTES = 4;
@@ -44,6 +56,17 @@
   return records;
 }
 
+function copyTopics({ topics, newestByTopic }: TopicCopy): TopicCopy {
+  const topicEntries = [...topics].map(([name, topic]): [string, Topic] => [
+    name,
+    { ...topic, records: [...topic.records] },
+  ]);
+  const newestEntries = [...newestByTopic].map(
+    ([name, newest]): [string, Map<string, NewestRecord>] => [name, new Map(newest)],
+  );
+  return { topics: new Map(topicEntries), newestByTopic: new Map(newestEntries) };
+}
+
 /**
  * Creates an empty store.
  *
@@ -51,8 +74,8 @@
  * createTopicStore().append('keyed.op', [record]);
  */
 export function createTopicStore(): TopicStore {
-  const topics = new Map<string, Topic>();
-  const newestByTopic = new Map<string, Map<string, NewestRecord>>();
+  let topics = new Map<string, Topic>();
+  let newestByTopic = new Map<string, Map<string, NewestRecord>>();
   const listeners = new Map<string, Set<() => void>>();
 
   const getOrCreateTopic = (name: string): Topic => {
@@ -90,7 +113,7 @@
     },
     read(name, from) {
       const topic = getOrCreateTopic(name);
-      if (from < topic.firstOffset) return undefined;
+      if (from < topic.firstOffset || from > getEndOffset(topic)) return undefined;
       return topic.records.slice(from - topic.firstOffset);
     },
     getBounds(name) {
@@ -113,5 +136,9 @@
       listeners.set(name, pendingListeners);
       return () => pendingListeners.delete(listener);
     },
+    createCopy: () => copyTopics({ topics, newestByTopic }),
+    restore(copy) {
+      ({ topics, newestByTopic } = copyTopics(copy));
+    },
   };
 }
