Mesh, configuration task: an empty response confirms no later than its arrival

Callers: none seen. A reader whose source has no configuration (a store restored from an empty copy) told its peers that their version was confirmed in the future; they refuse such a datagram, so this confirmation, and what else it carries, was lost.

Cause: an empty result was taken to have come at the end of the wait; the newest configuration, read whole, is returned at once also when there is none.

Evidence: the new test on the code before sees the age -692.8 ms among those sent; with the change all ages are 0 or more.

--- a/packages/proxy/src/mesh/configuration-task.ts
+++ b/packages/proxy/src/mesh/configuration-task.ts
@@ -180,8 +180,9 @@
       const configs = await source.read(waitMs, readController.signal);
       configs.forEach((config) => applyConfig(config, 'source'));
       markSourceReachable();
-      // Assumes that an empty result came at the end of the wait; any other result comes at once.
-      pollSchedule.recordConfirmation(configs.length === 0 ? readAt + waitMs : readAt);
+      // An empty result came at the end of the wait, or earlier when the source has no configuration.
+      const respondedAt = Math.min(readAt + waitMs, clock.monotonic());
+      pollSchedule.recordConfirmation(configs.length === 0 ? respondedAt : readAt);
       sendVersion(listReaderGroup());
       if (configs.length > 0) await timers.setTimeout(BATCH_DELAY_SHARE * applyWithinMs);
     } catch (error) {
