Mesh: hosts register again when the store has lost their registration

Callers: a host that starts after the store came back from an older copy lists only hosts of that copy. With none of them alive it knows no other host until they list again, every 20 to 30 s.

Cause: a host registered once, at its start, and relied on the acknowledgement.

Change: the era of the store is an opaque epoch of the source outside platform/. Only readers poll the store continuously, so gossip carries the epoch with the version; a process that hears of a higher one asks the store itself and passes on only what the store told it.

--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -352,9 +352,9 @@
     },
     mergeMembers: mergeRecords,
     updateInfo: (info, now) => replaceSelf({ info: { ...self.info, ...info } }, now),
-    setWatermark({ position, version, digest }) {
+    setWatermark({ position, version, digest, epoch }) {
       // Copies the fields, so that other properties of the caller's object are not sent.
-      watermark = { position, version, digest };
+      watermark = { position, version, digest, ...(epoch === undefined ? {} : { epoch }) };
     },
     sendWatermark: (ids, ageMs) => sendWatermarkTo(ids, ageMs, []),
     sendSelf: (ids) => sendWatermarkTo(ids, null, [self]),
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -43,6 +43,8 @@
   position: number;
   version: number;
   digest: string;
+  /** Epoch of the configuration source, which rises when the source has lost records; if known. */
+  epoch?: number | undefined;
 }
 
 export type GossipMessage =
--- a/packages/core/src/mesh/source-poll-schedule.ts
+++ b/packages/core/src/mesh/source-poll-schedule.ts
@@ -39,7 +39,8 @@
   staggerShare: 0.02,
   maxRank: 8,
   baseRetryShare: 0.05,
-  maxRetryShare: 0.5,
+  // With the jitter, a reader finds within 0.6 of the bound that the source responds again.
+  maxRetryShare: 0.3,
   maxHighRankRetryShare: 2,
 };
 
@@ -98,8 +99,10 @@
       const staleAt = rank === 0 ? now : confirmedAt + toMs(options.staleShare) + staggerMs;
       const delayMs = Math.max(retryAt, staleAt) - now;
       if (delayMs > 0) return { type: 'wait', delayMs };
-      const isReader = rank === 0 && confirmedAt > Number.NEGATIVE_INFINITY;
-      return { type: 'poll', waitMs: isReader ? toMs(options.readerWaitShare) : 0 };
+      // A poll after a failure does not wait, so that its response shows at once what has changed.
+      const mayWait =
+        rank === 0 && confirmedAt > Number.NEGATIVE_INFINITY && consecutiveFailures === 0;
+      return { type: 'poll', waitMs: mayWait ? toMs(options.readerWaitShare) : 0 };
     },
     getConfirmationAgeMs: (now) => now - confirmedAt,
   };
--- a/packages/core/test/mesh-source-poll-schedule.test.ts
+++ b/packages/core/test/mesh-source-poll-schedule.test.ts
@@ -137,6 +137,17 @@
     assert.ok(highRankPolls < lowRankPolls / 2, `${highRankPolls} and ${lowRankPolls} polls`);
   });
 
+  it('polls without waiting after a failure, and within 0.6 of the bound', () => {
+    const schedule = createSchedule();
+    schedule.recordConfirmation(0);
+    for (let failure = 0; failure < 10; failure += 1) schedule.recordFailure(10_000);
+    const step = schedule.computeNextStep(0, 10_000 + 0.6 * APPLY_MS);
+    assert.deepEqual(step, { type: 'poll', waitMs: 0 });
+    schedule.recordConfirmation(11_300);
+    const next = schedule.computeNextStep(0, 11_300);
+    assert.ok(next.type === 'poll' && next.waitMs > 0, JSON.stringify(next));
+  });
+
   it('resets the back-off when the source has responded to another process', () => {
     const schedule = createSchedule();
     schedule.recordConfirmation(0);
--- a/packages/proxy/src/gossip-schemas.ts
+++ b/packages/proxy/src/gossip-schemas.ts
@@ -30,6 +30,7 @@
   position: z.number(),
   version: z.number(),
   digest: z.string(),
+  epoch: z.number().int().nonnegative().optional(),
 });
 
 const messageFields = {
--- a/packages/proxy/src/mesh/gossip-codec.ts
+++ b/packages/proxy/src/mesh/gossip-codec.ts
@@ -51,10 +51,10 @@
  */
 export function encodeGossip(message: core.GossipMessage): Uint8Array {
   const { mark, members, ...rest } = message;
-  const { position, version, digest } = mark;
+  const { position, version, digest, epoch } = mark;
   return msgpack.encode({
     ...rest,
-    mark: [position, version, digest],
+    mark: [position, version, digest, ...(epoch === undefined ? [] : [epoch])],
     members: members.map(packMember),
   });
 }
@@ -68,10 +68,10 @@
  */
 export function decodeGossip(bytes: Uint8Array): core.GossipMessage {
   const raw = msgpack.decode(bytes) as { mark: Row; members: Row[] };
-  const [position, version, digest] = raw.mark;
+  const [position, version, digest, epoch] = raw.mark;
   return schemas.gossipMessageSchema.parse({
     ...raw,
-    mark: { position, version, digest },
+    mark: { position, version, digest, ...(epoch === undefined ? {} : { epoch }) },
     members: raw.members.map(unpackMember),
   });
 }
--- a/packages/proxy/src/mesh/gossip-members.ts
+++ b/packages/proxy/src/mesh/gossip-members.ts
@@ -2,6 +2,7 @@
 import * as core from '@figshed/core';
 import type * as context from './context.js';
 import * as gossipCodec from './gossip-codec.js';
+import * as registrations from './registration.js';
 import type * as types from './types.js';
 
 /**
@@ -25,6 +26,7 @@
 export interface MembersInput {
   ctx: context.MeshContext;
   hostRegistry: types.HostRegistry;
+  sourceEpoch: types.SourceEpoch;
   onChange: (member: core.Member, before: core.Member | undefined) => void;
   /**
    * Called with the configuration version that a member holds, and the milliseconds since it was
@@ -40,13 +42,11 @@
 const MAX_CONTACTS_PER_RELIST = 24;
 /** How often a host that is not alive is contacted; partitions heal within a few intervals. */
 const RECONTACT_INTERVAL_MS = 500;
-/** How often the host registry is read again, for hosts that gossip has missed. */
-const RELIST_INTERVAL_MS = 20_000;
-/** Delay before a failed request to the host registry is retried; doubles up to the maximum. */
-const RETRY_DELAY_MS = 250;
-/** Half of the 2 s within which a host must be registered again after an outage of the registry. */
-const MAX_RETRY_DELAY_MS = 1_000;
-const RELIST_JITTER_SHARE = 0.5;
+
+/** Version in the watermark of a process without a configuration. */
+const NO_VERSION = -1;
+/** Lower than any epoch. */
+const NO_EPOCH = -1;
 
 const membershipOptions: core.MembershipOptions = {
   ...core.membershipDefaults,
@@ -72,10 +72,10 @@
  * Creates the member list; it contains only this process until `start`.
  *
  * @example
- * const members = createMembers({ ctx, hostRegistry, onChange, onVersion });
+ * const members = createMembers({ ctx, hostRegistry, sourceEpoch, onChange, onVersion });
  */
 export function createMembers(input: MembersInput): Members {
-  const { ctx, hostRegistry, onChange, onVersion } = input;
+  const { ctx, hostRegistry, sourceEpoch, onChange, onVersion } = input;
   const { settings, clock, log, metrics, random } = ctx;
   const socket = dgram.createSocket('udp4');
   const ownEndpoint: core.Endpoint = { address: settings.address, port: settings.peerPort };
@@ -98,9 +98,9 @@
   });
   let tickTimer: NodeJS.Timeout | undefined;
   let contactTimer: NodeJS.Timeout | undefined;
-  let listTimer: NodeJS.Timeout | undefined;
-  let registerTimer: NodeJS.Timeout | undefined;
-  let isStopped = false;
+  let version = NO_VERSION;
+  /** Highest epoch of the source that a member has sent and this process had not received yet. */
+  let announcedEpoch = NO_EPOCH;
 
   const sendDatagram = (to: core.Endpoint, message: core.GossipMessage): void => {
     const bytes = gossipCodec.encodeGossip(message);
@@ -135,6 +135,8 @@
         logChange(effect.member, effect.before);
         onChange(effect.member, effect.before);
       } else {
+        // eslint-disable-next-line @typescript-eslint/no-use-before-define -- renewal lists, which sends
+        recordEpoch(effect.mark.epoch);
         const member = membership.getMember(effect.id);
         if (member) onVersion(member, effect.mark.version, effect.ageMs);
       }
@@ -198,49 +200,34 @@
     pickRandom(inactiveEndpoints, 1).forEach(contactEndpoint);
   };
 
-  const relist = (retryMs: number): void => {
-    hostRegistry
-      .list()
-      .then((endpoints) => {
-        updateListedEndpoints(endpoints);
-        log.debug('hosts-listed', { hosts: endpoints.length });
-        return RELIST_INTERVAL_MS * (1 + RELIST_JITTER_SHARE * random());
-      })
-      .catch((error: Error) => {
-        log.warn('first-contact-failed', { step: 'list', message: error.message, retryMs });
-        return retryMs;
-      })
-      .then((delayMs) => {
-        if (isStopped) return;
-        listTimer = setTimeout(
-          () =>
-            relist(
-              Math.min(MAX_RETRY_DELAY_MS, delayMs === retryMs ? retryMs * 2 : RETRY_DELAY_MS),
-            ),
-          delayMs,
-        );
-      })
-      .catch((error: Error) => log.error('relist-failed', { message: error.message }));
-  };
+  const registration = registrations.createRegistration({
+    ctx,
+    hostRegistry,
+    endpoint: ownEndpoint,
+    onList: updateListedEndpoints,
+  });
 
-  const register = async (retryMs: number): Promise<void> => {
-    try {
-      await hostRegistry.register(ownEndpoint);
-    } catch (error) {
-      log.warn('first-contact-failed', {
-        step: 'announce',
-        message: (error as Error).message,
-        retryMs,
-      });
-      if (isStopped) return;
-      registerTimer = setTimeout(() => {
-        register(Math.min(MAX_RETRY_DELAY_MS, retryMs * 2)).catch((failure: Error) =>
-          log.error('announce-failed', { message: failure.message }),
-        );
-      }, retryMs);
-    }
+  /** Renews the registration when a member has received a higher epoch than this process. */
+  const recordEpoch = (epoch: number | undefined): void => {
+    const ownEpoch = sourceEpoch.get();
+    if (epoch === undefined || ownEpoch === undefined) return;
+    if (epoch <= Math.max(ownEpoch, announcedEpoch)) return;
+    announcedEpoch = epoch;
+    registration.renew();
   };
 
+  /** Sends only an epoch that this process has received from the source itself. */
+  const updateWatermark = (): void =>
+    membership.setWatermark({ position: version, version, digest: '', epoch: sourceEpoch.get() });
+
+  sourceEpoch.onChange((epoch, before) => {
+    updateWatermark();
+    if (before === undefined) return;
+    log.warn('store-restored', { epoch, before, version });
+    metrics.count('store_restorations_total');
+    if (epoch !== announcedEpoch) registration.renew();
+  });
+
   const sendOwnRecord = (): void => {
     const aliveMembers = membership
       .listMembers()
@@ -255,8 +242,9 @@
       applyEffects(membership.updateInfo(info, clock.monotonic()));
       sendOwnRecord();
     },
-    setVersion(version) {
-      membership.setWatermark({ position: version, version, digest: '' });
+    setVersion(nextVersion) {
+      version = nextVersion;
+      updateWatermark();
     },
     sendVersion: (ids, ageMs) => applyEffects(membership.sendWatermark(ids, Math.round(ageMs))),
     async start() {
@@ -270,21 +258,16 @@
         TICK_INTERVAL_MS,
       );
       contactTimer = setInterval(recontact, RECONTACT_INTERVAL_MS);
-      // Registers before listing: of two processes that start at once, one then finds the other.
-      register(RETRY_DELAY_MS)
-        .then(() => relist(RETRY_DELAY_MS))
-        .catch((error: Error) => log.error('announce-failed', { message: error.message }));
+      registration.start();
     },
     leave() {
       applyEffects(membership.leave(clock.monotonic()));
       sendOwnRecord();
     },
     stop() {
-      isStopped = true;
       clearInterval(tickTimer);
       clearInterval(contactTimer);
-      clearTimeout(listTimer);
-      clearTimeout(registerTimer);
+      registration.stop();
       socket.close();
     },
   };
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -84,6 +84,7 @@
   const members = gossipMembers.createMembers({
     ctx,
     hostRegistry: adapter.hostRegistry,
+    sourceEpoch: adapter.sourceEpoch,
     onChange: (member) => targets.setMember(member),
     onVersion: configuration.recordVersion,
   });
--- a/packages/proxy/src/mesh/types.ts
+++ b/packages/proxy/src/mesh/types.ts
@@ -19,6 +19,19 @@
   /** Lists the registered processes; some of them may have stopped. */
   list(): Promise<core.Endpoint[]>;
   deregister(): Promise<void>;
+  /** Writes this process's last registration or deregistration again, for a registry that lost it. */
+  renew(): Promise<void>;
+}
+
+/**
+ * Epoch of the data behind the configuration source and the host registry. It rises when they have
+ * lost what they had acknowledged.
+ */
+export interface SourceEpoch {
+  /** Returns the highest epoch received; undefined before the first. */
+  get(): number | undefined;
+  /** Calls the listener at each change; `before` is undefined for the first epoch. */
+  onChange(listener: (epoch: number, before: number | undefined) => void): void;
 }
 
 /** Parsed message of a target to its proxy; `unreadable` and `unknown-path` are rejected. */
@@ -53,6 +66,7 @@
 export interface PlatformAdapter {
   configurationSource: ConfigurationSource;
   hostRegistry: HostRegistry;
+  sourceEpoch: SourceEpoch;
   announcementParser: AnnouncementParser;
   protocol: CallProtocol;
 }
--- a/packages/proxy/test/mesh-gossip-codec.test.ts
+++ b/packages/proxy/test/mesh-gossip-codec.test.ts
@@ -41,6 +41,14 @@
     assert.deepEqual(JSON.parse(JSON.stringify(decoded)), JSON.parse(JSON.stringify(message)));
   });
 
+  it('decodes the epoch of the source, and a message of a process without one', () => {
+    const mark = { ...message.mark, epoch: 3 };
+    const decode = (sent: core.GossipMessage): core.GossipMessage =>
+      codec.decodeGossip(codec.encodeGossip(sent));
+    assert.deepEqual(decode({ ...message, mark }).mark, mark);
+    assert.equal(decode(message).mark.epoch, undefined);
+  });
+
   it('takes less than half of the bytes of MessagePack with field names', () => {
     assert.ok(codec.encodeGossip(message).length < msgpack.encode(message).length / 2);
   });
