--- a/packages/stand-ins/src/store/store-server.ts
+++ b/packages/stand-ins/src/store/store-server.ts
@@ -18,6 +18,8 @@
   delayMs: number;
   /** Whether appends and trims are carried out without a response. */
   shouldDropResponses: boolean;
+  /** Replaces the era in the response header; the header is left out for undefined. */
+  formatEra: ((era: number) => string | undefined) | undefined;
 }
 
 export interface StoreServer {
@@ -28,6 +30,8 @@
   requestCounts: Map<string, number>;
   /** Bytes of the response bodies by path. */
   sentBytes: Map<string, number>;
+  /** Resets all connections, continues from the copy and raises the era by one. */
+  restore(copy: topicStore.TopicCopy, options?: { shouldKeepConnections?: boolean }): void;
   close(): Promise<void>;
 }
 
@@ -87,7 +91,9 @@
     shouldResetConnections: false,
     delayMs: 0,
     shouldDropResponses: false,
+    formatEra: undefined,
   };
+  let era = 1;
   const requestCounts = new Map<string, number>();
   const sentBytes = new Map<string, number>();
   const sockets = new Set<net.Socket>();
@@ -115,7 +121,7 @@
       const topic = query.get('topic') ?? '';
       const from = Number(query.get('from'));
       const waitMs = Math.min(MAX_WAIT_MS, Number(query.get('waitMs') ?? 0));
-      if (topics.getBounds(topic).endOffset <= from) await waitForAppend(topic, waitMs);
+      if (topics.getBounds(topic).endOffset === from) await waitForAppend(topic, waitMs);
       const maxBytes = Number(query.get('maxKb') ?? DEFAULT_MAX_KB) * BYTES_PER_KB;
       const records = topics.read(topic, from, maxBytes);
       const { firstOffset, endOffset } = topics.getBounds(topic);
@@ -139,6 +145,11 @@
     },
   };
 
+  const createHeaders = (): http.OutgoingHttpHeaders => {
+    const value = faults.formatEra ? faults.formatEra(era) : String(era);
+    return value === undefined ? {} : { 'store-era': value };
+  };
+
   const handleRequest = async (
     request: http.IncomingMessage,
     response: http.ServerResponse,
@@ -152,7 +163,7 @@
     }
     if (faults.delayMs > 0) await timers.setTimeout(faults.delayMs);
     if (faults.isUnavailable) {
-      response.writeHead(HTTP_UNAVAILABLE).end();
+      response.writeHead(HTTP_UNAVAILABLE, createHeaders()).end();
       return;
     }
     const handler = handlers[`${request.method} ${url.pathname}`];
@@ -163,7 +174,7 @@
     if (faults.shouldDropResponses && request.method === 'POST') return;
     const bytes = Buffer.isBuffer(result.body) ? result.body : JSON.stringify(result.body);
     sentBytes.set(url.pathname, (sentBytes.get(url.pathname) ?? 0) + Buffer.byteLength(bytes));
-    response.writeHead(result.status).end(bytes);
+    response.writeHead(result.status, createHeaders()).end(bytes);
   };
 
   const server = http.createServer((request, response) => {
@@ -182,6 +193,11 @@
     topics,
     requestCounts,
     sentBytes,
+    restore(copy, options = {}) {
+      topics.restore(copy);
+      era += 1;
+      if (options.shouldKeepConnections !== true) sockets.forEach(resetSocket.resetSocket);
+    },
     close: () =>
       new Promise((resolve) => {
         server.close(() => resolve());
