--- a/packages/core/test/mesh-call-machine.test.ts
+++ b/packages/core/test/mesh-call-machine.test.ts
@@ -49,6 +49,8 @@
   possibleRuns: number;
   finalEffects: mesh.CallEffect[];
   openAttempts: number;
+  /** Open attempts at each error response, except one at the deadline. */
+  openAttemptsAtErrors: number[];
 }
 
 /** Events that end one open attempt. */
@@ -56,7 +58,13 @@
 const finalEffectTypes = new Set(['answer', 'deliver', 'abort']);
 
 function runEvents(machine: mesh.CallStateMachine, events: readonly CallEvent[]): CallSummary {
-  const summary: CallSummary = { sends: 0, possibleRuns: 0, finalEffects: [], openAttempts: 0 };
+  const summary: CallSummary = {
+    sends: 0,
+    possibleRuns: 0,
+    finalEffects: [],
+    openAttempts: 0,
+    openAttemptsAtErrors: [],
+  };
   const applyEffects = (effects: readonly mesh.CallEffect[]): void =>
     effects.forEach((effect) => {
       if (effect.type === 'send') {
@@ -74,7 +82,10 @@
       summary.possibleRuns += 1;
     }
     if (!wasFinished && attemptEndTypes.has(event.type)) summary.openAttempts -= 1;
-    applyEffects(machine.handle(event));
+    const effects = machine.handle(event);
+    if (event.type !== 'timeout' && effects.some(({ type }) => type === 'answer'))
+      summary.openAttemptsAtErrors.push(summary.openAttempts);
+    applyEffects(effects);
   });
   return summary;
 }
@@ -130,6 +141,22 @@
     );
   });
 
+  it('responds with an error before the deadline only when no attempt is open', () => {
+    fc.assert(
+      fc.property(
+        fc.array(anyEvent, { maxLength: 20 }),
+        fc.boolean(),
+        fc.boolean(),
+        (events, isRepeatable, hasRetries) => {
+          const policy = createPolicy({ isRepeatable, takeRetry: () => hasRetries });
+          const summary = runEvents(mesh.createCallStateMachine(policy), events);
+          assert.deepEqual(summary.openAttemptsAtErrors.filter(Boolean), []);
+        },
+      ),
+      { numRuns: 5_000 },
+    );
+  });
+
   it('ends after a bounded number of refusals', () => {
     fc.assert(
       fc.property(fc.constantFrom(...reasons), (reason) => {
