Mesh, registration: list the hosts also while registering fails

A registration that succeeds at a later attempt is followed by another listing, so that of two processes that start at once one finds the other.

--- a/packages/proxy/src/mesh/registration.ts
+++ b/packages/proxy/src/mesh/registration.ts
@@ -39,71 +39,93 @@
 export function createRegistration(input: RegistrationInput): Registration {
   const { ctx, hostRegistry, endpoint, onList } = input;
   const { log, metrics, random } = ctx;
-  let timer: NodeJS.Timeout | undefined;
-  /** Number of the current round; a renewal begins a new one and ends the one before. */
-  let round = 0;
+  let registerTimer: NodeJS.Timeout | undefined;
+  let listTimer: NodeJS.Timeout | undefined;
+  /** Numbers of the current loops; a new loop ends the one before, also while it awaits a response. */
+  let registerLoop = 0;
+  let listLoop = 0;
   let isStopped = false;
 
-  const schedule = (ownRound: number, delayMs: number, step: () => Promise<void>): void => {
-    if (isStopped || ownRound !== round) return;
-    timer = setTimeout(() => {
-      step().catch((error: Error) => log.error('announce-failed', { message: error.message }));
-    }, delayMs);
+  const run = (step: () => Promise<void>): void => {
+    step().catch((error: Error) => log.error('announce-failed', { message: error.message }));
   };
 
-  const list = async (ownRound: number, retryMs: number): Promise<void> => {
+  const computeNextRetryMs = (retryMs: number): number => Math.min(MAX_RETRY_DELAY_MS, retryMs * 2);
+
+  const list = async (loop: number, retryMs: number): Promise<void> => {
+    let delayMs = retryMs;
+    let nextRetryMs = computeNextRetryMs(retryMs);
     try {
       const endpoints = await hostRegistry.list();
       onList(endpoints);
       log.debug('hosts-listed', { hosts: endpoints.length });
-      const delayMs = RELIST_INTERVAL_MS * (1 + RELIST_JITTER_SHARE * random());
-      schedule(ownRound, delayMs, () => list(ownRound, RETRY_DELAY_MS));
+      delayMs = RELIST_INTERVAL_MS * (1 + RELIST_JITTER_SHARE * random());
+      nextRetryMs = RETRY_DELAY_MS;
     } catch (error) {
       const { message } = error as Error;
       log.warn('first-contact-failed', { step: 'list', message, retryMs });
-      const nextRetryMs = Math.min(MAX_RETRY_DELAY_MS, retryMs * 2);
-      schedule(ownRound, retryMs, () => list(ownRound, nextRetryMs));
     }
+    if (isStopped || loop !== listLoop) return;
+    listTimer = setTimeout(() => run(() => list(loop, nextRetryMs)), delayMs);
+  };
+
+  const startListing = (): void => {
+    if (isStopped) return;
+    clearTimeout(listTimer);
+    listLoop += 1;
+    const loop = listLoop;
+    run(() => list(loop, RETRY_DELAY_MS));
+  };
+
+  const retryRegistration = async (loop: number, retryMs: number): Promise<void> => {
+    try {
+      await hostRegistry.renew();
+      if (loop === registerLoop) startListing();
+    } catch (error) {
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the two retry in turn
+      scheduleRetry(loop, retryMs, error as Error);
+    }
+  };
+
+  const scheduleRetry = (loop: number, retryMs: number, { message }: Error): void => {
+    log.warn('first-contact-failed', { step: 'announce', message, retryMs });
+    if (isStopped || loop !== registerLoop) return;
+    registerTimer = setTimeout(
+      () => run(() => retryRegistration(loop, computeNextRetryMs(retryMs))),
+      retryMs,
+    );
   };
 
-  /** Registers before listing: of two processes that do so at once, one then finds the other. */
-  const register = async (
-    ownRound: number,
-    write: () => Promise<void>,
-    retryMs: number,
-  ): Promise<void> => {
+  /**
+   * Registers, then lists, also if the registration failed. Of two processes that register before
+   * they list, one then finds the other.
+   */
+  const register = async (loop: number, write: () => Promise<void>): Promise<void> => {
     try {
       await write();
     } catch (error) {
-      const { message } = error as Error;
-      log.warn('first-contact-failed', { step: 'announce', message, retryMs });
-      const nextRetryMs = Math.min(MAX_RETRY_DELAY_MS, retryMs * 2);
-      schedule(ownRound, retryMs, () =>
-        register(ownRound, () => hostRegistry.renew(), nextRetryMs),
-      );
-      return;
+      scheduleRetry(loop, RETRY_DELAY_MS, error as Error);
     }
-    if (!isStopped && ownRound === round) await list(ownRound, RETRY_DELAY_MS);
+    if (loop === registerLoop) startListing();
   };
 
   return {
-    start() {
-      register(round, () => hostRegistry.register(endpoint), RETRY_DELAY_MS).catch((error: Error) =>
-        log.error('announce-failed', { message: error.message }),
-      );
-    },
+    start: () => run(() => register(registerLoop, () => hostRegistry.register(endpoint))),
     renew() {
-      round += 1;
-      clearTimeout(timer);
+      if (isStopped) return;
       metrics.count('registrations_renewed_total');
-      const renewedRound = round;
-      schedule(renewedRound, random() * RENEWAL_SPREAD_MS, () =>
-        register(renewedRound, () => hostRegistry.renew(), RETRY_DELAY_MS),
+      clearTimeout(registerTimer);
+      registerLoop += 1;
+      const loop = registerLoop;
+      registerTimer = setTimeout(
+        () => run(() => register(loop, () => hostRegistry.renew())),
+        random() * RENEWAL_SPREAD_MS,
       );
     },
     stop() {
       isStopped = true;
-      clearTimeout(timer);
+      clearTimeout(registerTimer);
+      clearTimeout(listTimer);
     },
   };
 }
