Local target: a refusal counts only for the call whose id it carries

What callers saw: on a kept connection to a target that wrote an earlier refusal once more, a call that is not repeatable was sent to a second target while the first ran it, or was reported as not run (503). Cause: `Figshed-Not-Executed` and 421 were accepted before the response's call id was compared. A repeated refusal carries the id of the earlier call. Any response without this call's id ends the attempt as one that may have run (502, or a retry if repeatable) and closes the connection; such a 421 no longer marks the target as down. The stand-in target echoes the id in its refusals, as the protocol has it.

--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -156,25 +156,29 @@
       return;
     }
     const { headers } = message;
-    if (status === constants.HTTP.misdirected) {
+    const isMisdirected = status === constants.HTTP.misdirected;
+    const isNotExecuted = headers[protocol.notExecutedHeader] !== undefined;
+    const isFromTarget =
+      isMisdirected || isNotExecuted || headers[protocol.signatureHeader] !== undefined;
+    // A response to another call, a refusal included, must not count as the response to this one.
+    const hasMatchingCallId = headers[protocol.callIdHeader] === entry.attempt.callId;
+    if (!hasMatchingCallId || !isFromTarget) {
+      message.destroy();
+      failAttempt(key, hasMatchingCallId ? 'answer-without-signature' : 'answer-of-another-call');
+      return;
+    }
+    if (isMisdirected) {
       message.resume();
       markTargetDown(entry.instanceId, 'another-instance');
       refuseStarted(key, 'wrong-instance');
       return;
     }
-    if (headers[protocol.notExecutedHeader] !== undefined) {
+    if (isNotExecuted) {
       message.resume();
       updateFailureShare(true);
       refuseStarted(key, 'target-refused');
       return;
     }
-    // A response to another request, or one not made by a target, must not reach the caller.
-    const hasMatchingCallId = headers[protocol.callIdHeader] === entry.attempt.callId;
-    if (!hasMatchingCallId || headers[protocol.signatureHeader] === undefined) {
-      message.destroy();
-      failAttempt(key, hasMatchingCallId ? 'answer-without-signature' : 'answer-of-another-call');
-      return;
-    }
     const settleAttempt = (): void => {
       if (!openAttempts.delete(key)) return;
       const tookMs = clock.monotonic() - entry.sentAt;
--- a/packages/stand-ins/src/mesh/mesh-target.ts
+++ b/packages/stand-ins/src/mesh/mesh-target.ts
@@ -3,6 +3,7 @@
 import * as timers from 'node:timers/promises';
 import * as resetSocket from '../reset-socket.js';
 import * as requestBody from '../read-body.js';
+import type * as rawResponses from './raw-responses.js';
 
 /** Faults in a target's responses, each as a share of the calls that it runs. */
 export interface TargetFaults {
@@ -40,6 +41,8 @@
   address: string;
   port: number;
   faults: TargetFaults;
+  /** Takes over all calls that arrive while it is set. */
+  rawResponder: rawResponses.RawResponder | undefined;
   serviceMs: number;
   runs: CallRun[];
   /** Number of requests received, rejected ones included. */
@@ -104,6 +107,7 @@
       truncatedCloseDelimitedShare: 0,
       errorResponseShare: 0,
     },
+    rawResponder: undefined,
     serviceMs: DEFAULT_SERVICE_MS,
     runs: [],
     receivedRequests: 0,
@@ -209,20 +213,16 @@
     response: http.ServerResponse,
   ): Promise<void> => {
     target.receivedRequests += 1;
+    const callId = String(request.headers['figshed-request-id']);
+    const refusalHeaders = { 'figshed-request-id': callId, 'figshed-not-executed': '1' };
     const expected = request.headers['figshed-expect-instance'];
     if (expected !== undefined && expected !== id) {
       request.resume();
-      response.writeHead(HTTP_MISDIRECTED, { 'figshed-not-executed': '1' }).end();
+      response.writeHead(HTTP_MISDIRECTED, refusalHeaders).end();
       return;
     }
-    if (runningCalls >= slots) {
-      request.resume();
-      response.writeHead(HTTP_UNAVAILABLE, { 'figshed-not-executed': '1' }).end();
-      return;
-    }
-    runningCalls += 1;
     const run: CallRun = {
-      callId: String(request.headers['figshed-request-id']),
+      callId,
       method: request.method ?? '',
       path: request.url ?? '',
       callerService: String(request.headers['figshed-caller-service']),
@@ -230,6 +230,22 @@
       startedAt: Date.now(),
       isCancelled: false,
     };
+    if (target.rawResponder) {
+      run.body = (await requestBody.readBody(request)).toString();
+      target.rawResponder({
+        socket: request.socket,
+        callId,
+        signature: `${id}.${callId}`,
+        recordRun: () => target.runs.push(run),
+      });
+      return;
+    }
+    if (runningCalls >= slots) {
+      request.resume();
+      response.writeHead(HTTP_UNAVAILABLE, refusalHeaders).end();
+      return;
+    }
+    runningCalls += 1;
     target.runs.push(run);
     response.on('close', () => {
       if (!response.writableFinished) run.isCancelled = true;
--- /dev/null
+++ b/packages/stand-ins/src/mesh/raw-responses.ts
@@ -0,0 +1,45 @@
+/** Responders that write raw bytes to a target's connections, which an HTTP server cannot send. */
+import type * as net from 'node:net';
+
+/** A request whose connection a responder has taken over. */
+export interface RawExchange {
+  socket: net.Socket;
+  callId: string;
+  signature: string;
+  /** Records that the target runs the call. */
+  recordRun(): void;
+}
+
+export type RawResponder = (exchange: RawExchange) => void;
+
+export interface RefusalOptions {
+  status: number;
+  /** Whether the repeated refusal still has the id of the call that it belongs to. */
+  hasCallId: boolean;
+}
+
+function formatRefusal(status: number, callId: string | undefined): string {
+  const idLine = callId === undefined ? '' : `figshed-request-id: ${callId}\r\n`;
+  return `HTTP/1.1 ${status} Refused\r\n${idLine}figshed-not-executed: 1\r\ncontent-length: 0\r\n\r\n`;
+}
+
+/**
+ * Creates a responder that refuses the first call on each connection, and runs the later ones but
+ * responds with that refusal again.
+ *
+ * @example
+ * target.rawResponder = createRefusalRepeater({ status: 503, hasCallId: true });
+ */
+export function createRefusalRepeater(options: RefusalOptions): RawResponder {
+  const refusedCalls = new WeakMap<net.Socket, string>();
+  return ({ socket, callId, recordRun }) => {
+    const refusedCall = refusedCalls.get(socket);
+    if (refusedCall === undefined) {
+      refusedCalls.set(socket, callId);
+      socket.write(formatRefusal(options.status, callId));
+      return;
+    }
+    recordRun();
+    socket.write(formatRefusal(options.status, options.hasCallId ? refusedCall : undefined));
+  };
+}
