--- a/packages/stand-ins/src/mesh/mesh-target.ts
+++ b/packages/stand-ins/src/mesh/mesh-target.ts
@@ -40,6 +40,8 @@
   id: string;
   address: string;
   port: number;
+  /** Unix time of its start in milliseconds, as in its announcements. */
+  bornAt: number;
   faults: TargetFaults;
   /** Takes over all calls that arrive while it is set. */
   rawResponder: rawResponses.RawResponder | undefined;
@@ -89,7 +91,7 @@
  */
 export async function startMeshTarget(options: MeshTargetOptions): Promise<MeshTarget> {
   const { id, service, address, port, slots, announcements, random } = options;
-  const startedAt = Date.now();
+  const bornAt = Date.now();
   const sockets = new Set<net.Socket>();
   let runningCalls = 0;
   let sequence = 0;
@@ -99,6 +101,7 @@
     id,
     address,
     port,
+    bornAt,
     faults: {
       lostResponseShare: 0,
       unsolicitedResponseShare: 0,
@@ -144,13 +147,12 @@
     sequence += 1;
     return postAnnouncement(`/api/Instances.Heartbeat/${id}`, {
       addr: `${address}:${options.announcedPort ?? port}`,
-      born: startedAt,
+      born: bornAt,
       info: { service, version: 'v1', zone: 'z', maxConcurrency: slots },
       status: { state, sequence, coldRemainingMs: 0 },
     });
   };
-  target.deregister = () =>
-    postAnnouncement(`/api/Instances.Deregister/${id}`, { born: startedAt });
+  target.deregister = () => postAnnouncement(`/api/Instances.Deregister/${id}`, { born: bornAt });
   target.startHeartbeats = () => {
     target.announce('ready').catch(() => undefined);
     heartbeatTimer = setInterval(() => {
