Announcements: only the service of the settings opens the target's gate

What callers saw: after one announcement of a service that does not run on the host, no call reached the host's target any more. Cause: the gate opened for any service announced with the target's address; if that entry was younger, the target's own announcements were stale from then on.

--- a/packages/proxy/src/mesh/auxiliary-servers.ts
+++ b/packages/proxy/src/mesh/auxiliary-servers.ts
@@ -79,13 +79,15 @@
 
   const handlers: MessageHandlers = {
     announce(message) {
-      if (message.address !== expectedAddress) {
+      const { address, announcement } = message;
+      // An announcement of another writer; it must not replace the target of this host.
+      if (address !== expectedAddress || announcement.service !== settings.service) {
         log.warn('announcement-refused', {
-          finding: `announced address ${message.address} is not the target address ${expectedAddress} of the settings`,
+          finding: `announced ${announcement.service} at ${address} is not the target ${settings.service} at ${expectedAddress} of the settings`,
         });
         return { status: constants.HTTP.ok, verdict: 'stale' };
       }
-      return { status: constants.HTTP.ok, verdict: target.applyAnnouncement(message.announcement) };
+      return { status: constants.HTTP.ok, verdict: target.applyAnnouncement(announcement) };
     },
     deregister: (message) => ({
       status: constants.HTTP.ok,
