Gossip: a datagram with a record that cannot be used is refused

What callers saw: a process ended by itself after one datagram with a member record whose peer port is out of range. Cause: the schema accepted any number as a port and any text as an address. The record was stored, and the next probe of it made `dgram` throw in a timer. Change: ports, addresses, incarnations, slots, sequence numbers, positions and versions are checked by the schema, which the product's own gossip shares.

--- a/packages/proxy/src/gossip-schemas.ts
+++ b/packages/proxy/src/gossip-schemas.ts
@@ -1,8 +1,10 @@
 import * as z from 'zod';
 
+const MAX_PORT = 65_535;
+
 const targetSchema = z.object({
   service: z.string(),
-  slots: z.number(),
+  slots: z.number().int().nonnegative(),
   state: z.enum(['up', 'draining', 'down']),
   id: z.string().optional(),
   isCold: z.boolean().optional(),
@@ -11,15 +13,15 @@
 /** Schema of a member record received from another process. */
 export const memberSchema = z.object({
   id: z.string(),
-  incarnation: z.number(),
+  incarnation: z.number().int().nonnegative(),
   status: z.enum(['alive', 'suspect', 'dead', 'left']),
   info: z.object({
     instance: z.string(),
     dataCentre: z.string(),
     region: z.string(),
-    address: z.string(),
-    callerPort: z.number(),
-    peerPort: z.number(),
+    address: z.union([z.ipv4(), z.ipv6()]),
+    callerPort: z.number().int().nonnegative().max(MAX_PORT),
+    peerPort: z.number().int().positive().max(MAX_PORT),
     ready: z.boolean(),
     target: targetSchema.nullable(),
   }),
@@ -27,13 +29,13 @@
 
 /** Schema of the position, version and digest of another process's configuration. */
 export const configWatermarkSchema = z.object({
-  position: z.number(),
-  version: z.number(),
+  position: z.number().int(),
+  version: z.number().int(),
   digest: z.string(),
 });
 
 const messageFields = {
-  sequence: z.number(),
+  sequence: z.number().int(),
   from: z.string(),
   mark: configWatermarkSchema,
   members: z.array(memberSchema),
