Local target: a response with a status below 200 ends the attempt

What callers saw: no response; the process beside the target ended by itself. Cause: Node.js parses a status such as 099 or 000, and `writeHead` throws on it where the response is passed on. Text that is no response did the right thing before; its test is a guard.

--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -160,6 +160,11 @@
     const isNotExecuted = headers[protocol.notExecutedHeader] !== undefined;
     const isFromTarget =
       isMisdirected || isNotExecuted || headers[protocol.signatureHeader] !== undefined;
+    if (status < constants.HTTP.ok) {
+      message.destroy();
+      failAttempt(key, 'invalid-status');
+      return;
+    }
     // A response to another call, a refusal included, must not count as the response to this one.
     const hasMatchingCallId = headers[protocol.callIdHeader] === entry.attempt.callId;
     if (!hasMatchingCallId || !isFromTarget) {
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -8,7 +8,11 @@
   type MeshHost,
 } from './mesh/mesh-fleet.js';
 export { startMeshTarget, type MeshTarget, type CallRun } from './mesh/mesh-target.js';
-export { createRefusalRepeater, type RefusalOptions } from './mesh/raw-responses.js';
+export {
+  createRefusalRepeater,
+  createTextResponder,
+  type RefusalOptions,
+} from './mesh/raw-responses.js';
 export { createMeshConfig } from './mesh/mesh-config.js';
 export { encodeKeyedRecord, appendConfig } from './store/keyed-record.js';
 export { startStoreServer, type StoreFaults, type StoreServer } from './store/store-server.js';
--- a/packages/stand-ins/src/mesh/raw-responses.ts
+++ b/packages/stand-ins/src/mesh/raw-responses.ts
@@ -43,3 +43,18 @@
     socket.write(formatRefusal(options.status, options.hasCallId ? refusedCall : undefined));
   };
 }
+
+/**
+ * Creates a responder that runs each call and responds with `text`, in which the call's headers are
+ * inserted for `{headers}`.
+ *
+ * @example
+ * target.rawResponder = createTextResponder('HTTP/1.1 099 Odd\r\n{headers}\r\n');
+ */
+export function createTextResponder(text: string): RawResponder {
+  return ({ socket, callId, signature, recordRun }) => {
+    recordRun();
+    const headers = `figshed-request-id: ${callId}\r\nfigshed-response-signature: ${signature}\r\n`;
+    socket.write(text.replace('{headers}', headers));
+  };
+}
