Local target: a connection that closes without a response ends the attempt

What callers saw: 504 at the deadline instead of 502 at once; 503 once all slots of the target were held. Cause: on a 101 that nobody requested Node.js closes the connection and emits neither `response` nor `error`, so the attempt never ended and held its slot. Evidence, the new test on the code before: statuses 504 and 503 instead of 502 for 16 orders at 8 slots. Change: `close` without a response ends the attempt as one that may have run. Measured: all 16 orders get 502 and the next ones are served.

--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -236,7 +236,12 @@
     const overrunTimer = setTimeout(() => {
       request.destroy(new Error('deadline-overrun'));
     }, remainingMs + constants.DEADLINE_GRACE_MS);
-    request.once('close', () => clearTimeout(overrunTimer));
+    let hasResponse = false;
+    request.once('close', () => {
+      clearTimeout(overrunTimer);
+      // Node.js emits neither a response nor an error for a 101 that nobody requested.
+      if (!hasResponse) failAttempt(key, 'closed');
+    });
     keepAliveAgent.watchConnect(
       request,
       constants.TARGET_CONNECT_TIMEOUT_MS,
@@ -246,6 +251,7 @@
       () => request.destroy(new Error('connect-timeout')),
     );
     request.on('response', (message) => {
+      hasResponse = true;
       message.on('error', () => undefined);
       handleResponse(key, message, upstreamResponse.trackCompletion(request, message));
     });
