Local target: bytes that lead to no response close the connection

What callers saw: 504 only at the deadline, up to 1.5 s late beside load, while the target wrote blank lines or 1xx responses without end, and late responses to other calls, since the proxy read all of it; after a refusal with an endless body the connection stayed open until the deadline. Cause: Node.js limits one head to 16 KB, but neither the blank lines before it nor the number of 1xx responses; the body of a refusal was read to its end. These passed before and are guards: endless headers, chunk extensions, trailers, bytes after the body, bodies without a length and of a huge length, which end at the deadline.

--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -6,6 +6,7 @@
 import type * as context from './context.js';
 import * as keepAliveAgent from './keep-alive-agent.js';
 import * as meshHeaders from './mesh-headers.js';
+import * as responseBytes from './response-bytes.js';
 import type * as types from './types.js';
 
 /** Runs attempts at the target on this host, within its slots and only while its gate is open. */
@@ -173,13 +174,13 @@
       return;
     }
     if (isMisdirected) {
-      message.resume();
+      responseBytes.discardBody(message);
       markTargetDown(entry.instanceId, 'another-instance');
       refuseStarted(key, 'wrong-instance');
       return;
     }
     if (isNotExecuted) {
-      message.resume();
+      responseBytes.discardBody(message);
       updateFailureShare(true);
       refuseStarted(key, 'target-refused');
       return;
@@ -250,6 +251,7 @@
       },
       () => request.destroy(new Error('connect-timeout')),
     );
+    responseBytes.watchHeadBytes(request, () => request.destroy(new Error('head-too-large')));
     request.on('response', (message) => {
       hasResponse = true;
       message.on('error', () => undefined);
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -9,8 +9,10 @@
 } from './mesh/mesh-fleet.js';
 export { startMeshTarget, type MeshTarget, type CallRun } from './mesh/mesh-target.js';
 export {
+  createEndlessResponder,
   createRefusalRepeater,
   createTextResponder,
+  type EndlessOptions,
   type RefusalOptions,
 } from './mesh/raw-responses.js';
 export { createMeshConfig } from './mesh/mesh-config.js';
--- a/packages/stand-ins/src/mesh/raw-responses.ts
+++ b/packages/stand-ins/src/mesh/raw-responses.ts
@@ -44,6 +44,51 @@
   };
 }
 
+/** Interval at which endless bytes are written, so that the target's process stays responsive. */
+const CHUNK_INTERVAL_MS = 1;
+const CHUNK_BYTES = 65_536;
+
+export interface EndlessOptions {
+  /** Bytes before the endless ones; the call's headers are inserted for `{headers}`. */
+  start: string;
+  /** Repeated until the connection closes. */
+  repeated: string;
+}
+
+/**
+ * Creates a responder that runs each call and responds with bytes that end only when the other side
+ * closes the connection. `countOpen` returns the number of connections that are still open.
+ *
+ * @example
+ * const { responder } = createEndlessResponder({ start: 'HTTP/1.1 200 OK\r\n', repeated: 'a: b\r\n' });
+ * target.rawResponder = responder;
+ */
+export function createEndlessResponder(options: EndlessOptions): {
+  responder: RawResponder;
+  countOpen(): number;
+} {
+  const sockets = new Set<net.Socket>();
+  const chunk = options.repeated.repeat(Math.ceil(CHUNK_BYTES / options.repeated.length));
+  return {
+    responder({ socket, callId, signature, recordRun }) {
+      recordRun();
+      sockets.add(socket);
+      const headers = `figshed-request-id: ${callId}\r\nfigshed-response-signature: ${signature}\r\n`;
+      socket.write(options.start.replace('{headers}', headers));
+      const timer = setInterval(() => {
+        if (socket.writableNeedDrain) return;
+        socket.write(chunk);
+      }, CHUNK_INTERVAL_MS);
+      socket.once('close', () => {
+        clearInterval(timer);
+        sockets.delete(socket);
+      });
+      socket.on('error', () => undefined);
+    },
+    countOpen: () => sockets.size,
+  };
+}
+
 /**
  * Creates a responder that runs each call and responds with `text`, in which the call's headers are
  * inserted for `{headers}`.
