Peer server: a response of a huge stated length does not block the link pacer

Cause: the pacer reserved the link for the stated length, and the mean size of the route took it as a sample. Evidence, the new test on the code before: 503 !== 200 Change: a response larger than what is buffered, which is streamed anyway, reserves nothing and counts with that limit. Measured: the new test passes.

--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -141,6 +141,12 @@
         return;
       }
       const length = Number(message.headers['content-length'] ?? 0);
+      // A larger response is not buffered, and its stated length may be wrong.
+      if (length > constants.MAX_BUFFERED_RESPONSE_BYTES) {
+        pacer.recordUnpacedSize(route, constants.MAX_BUFFERED_RESPONSE_BYTES);
+        streamToPeer(upstream, response);
+        return;
+      }
       if (pacer.isLarge(length)) {
         sendPaced(upstream, response, pacer.reserve(route, length, clock.monotonic()));
         return;
