Route mesh: a host that skipped a version sends the changes to it too

Cause: a host named only the newest version that it holds; the history of a peer that skipped this version does not contain it.

Change: a host names its last four configurations, which share their unchanged objects, and the peer sends the changes since the newest of them that it knows. The response names the base. Digests in the headers are 16 digits long.

--- a/packages/core/src/mesh/config-delta.ts
+++ b/packages/core/src/mesh/config-delta.ts
@@ -28,7 +28,7 @@
   bytes: number;
 }
 
-const DIGEST_LENGTH = 32;
+const DIGEST_LENGTH = 16;
 /** Bytes of an index and its separators as JSON. */
 const BYTES_PER_INDEX = 8;
 const contents = new WeakMap<object, Content>();
--- a/packages/core/src/mesh/config-history.ts
+++ b/packages/core/src/mesh/config-history.ts
@@ -19,6 +19,8 @@
   maxBytes: number;
   /** Total size of the deltas, as a share of the size of the configuration. */
   maxShare: number;
+  /** Configurations from which changes can be applied, the newest included. */
+  maxSnapshots: number;
 }
 
 export const configHistoryDefaults: ConfigHistoryOptions = {
@@ -26,6 +28,7 @@
   maxBytes: 65_536,
   // Larger changes save little compared to the whole configuration.
   maxShare: 0.5,
+  maxSnapshots: 4,
 };
 
 export interface ConfigHistory {
@@ -36,6 +39,11 @@
   record(config: types.MeshConfig): types.MeshConfig;
   /** Returns the newest configuration; undefined before the first. */
   getSnapshot(): ConfigSnapshot | undefined;
+  /**
+   * Lists the newest configuration and recent ones, newest first. A peer may have skipped the newest
+   * and have changes only since an older one.
+   */
+  listSnapshots(): readonly ConfigSnapshot[];
   /**
    * Lists the changes from a configuration to the newest one, oldest first; undefined if the
    * history does not reach back to it.
@@ -53,7 +61,8 @@
   left.version === right.version && left.digest === right.digest;
 
 /**
- * Creates an empty history. It keeps one whole configuration; the older ones only as deltas.
+ * Creates an empty history. Recent configurations share their unchanged objects with the newest;
+ * older ones are kept only as deltas.
  *
  * @example
  * const history = createConfigHistory(configHistoryDefaults);
@@ -64,6 +73,8 @@
   let entries: Entry[] = [];
   let newest: types.MeshConfig | undefined;
   let snapshot: ConfigSnapshot | undefined;
+  /** Configurations before the newest, newest first; all within reach of the deltas. */
+  let olderSnapshots: ConfigSnapshot[] = [];
 
   const getSnapshot = (): ConfigSnapshot | undefined => {
     if (newest && snapshot?.config !== newest) {
@@ -97,9 +108,17 @@
       newest = configDelta.applyDelta(before.config, delta);
       entries.push({ base: before.id, delta, bytes: configDelta.measureDelta(delta) });
       removeOldEntries(newest);
+      olderSnapshots = [before, ...olderSnapshots].slice(
+        0,
+        Math.min(options.maxSnapshots - 1, entries.length),
+      );
       return newest;
     },
     getSnapshot,
+    listSnapshots() {
+      const current = getSnapshot();
+      return current ? [current, ...olderSnapshots] : [];
+    },
     listDeltas(base) {
       const current = getSnapshot();
       if (current && isSameId(current.id, base)) return [];
--- a/packages/core/test/mesh-config-delta.test.ts
+++ b/packages/core/test/mesh-config-delta.test.ts
@@ -185,8 +185,30 @@
     assert.deepEqual(deltas?.reduce(mesh.applyDelta, base.config), next);
   });
 
+  it('lists recent versions as long as the changes reach back to them', () => {
+    const history = mesh.createConfigHistory(mesh.configHistoryDefaults);
+    assert.deepEqual(history.listSnapshots(), []);
+    [1, 2, 3, 4, 5, 6].forEach((version) => history.record(createVersion(version)));
+    const snapshots = history.listSnapshots();
+    assert.deepEqual(
+      snapshots.map(({ config }) => config),
+      [6, 5, 4, 3].map(createVersion),
+    );
+    snapshots.forEach(({ id, config }) => {
+      const deltas = history.listDeltas(id);
+      assert.deepEqual(deltas?.reduce(mesh.applyDelta, config), createVersion(6));
+    });
+    history.record(
+      createConfig(
+        7,
+        names.map((name) => createRoute(`${name}-new`)),
+      ),
+    );
+    assert.equal(history.listSnapshots().length, 1);
+  });
+
   it('stays within its limits on the number and the size of the changes', () => {
-    const options = { maxDeltas: 8, maxBytes: 100_000, maxShare: 0.5 };
+    const options = { maxDeltas: 8, maxBytes: 100_000, maxShare: 0.5, maxSnapshots: 4 };
     const history = mesh.createConfigHistory(options);
     const ids = Array.from({ length: 20 }, (_, version) => {
       history.record(createVersion(version));
--- a/packages/proxy/src/mesh/configuration-codec.ts
+++ b/packages/proxy/src/mesh/configuration-codec.ts
@@ -7,9 +7,9 @@
 import * as forwardingHeaders from '../forwarding-headers.js';
 import * as errors from './errors.js';
 
-/** Names the configuration that the asker holds; processes that do not know it send the whole. */
-export const BASE_HEADER = `${forwardingHeaders.PROXY_HEADER_PREFIX}configuration-base`;
-/** Tells the form of the body and the configuration that it leads to. */
+/** Lists the configurations that the asker holds; processes that do not know it send the whole. */
+export const BASES_HEADER = `${forwardingHeaders.PROXY_HEADER_PREFIX}configuration-bases`;
+/** Tells the form of the body, the configuration that it leads to and, for changes, their base. */
 const FORM_HEADER = `${forwardingHeaders.PROXY_HEADER_PREFIX}configuration`;
 /** Largest body, before and after decompression. */
 export const MAX_CONFIGURATION_BYTES = 33_554_432;
@@ -76,38 +76,49 @@
   )
   .max(mesh.configHistoryDefaults.maxDeltas);
 
-const formatId = ({ version, digest }: mesh.ConfigId): string => `${version} ${digest}`;
+const MAX_BASES = mesh.configHistoryDefaults.maxSnapshots;
+
+const formatId = ({ version, digest }: mesh.ConfigId): string => `${version}:${digest}`;
 
 /**
- * Formats the headers of a request from a process that holds `base`.
+ * Formats the headers of a request from a process that holds `bases`.
  *
  * @example
- * formatBase({ version: 7, digest }); // { 'x-figshed-configuration-base': '7 5f...' }
+ * formatBases([{ version: 7, digest }]); // { 'x-figshed-configuration-bases': '7:5f...' }
  */
-export function formatBase(base: mesh.ConfigId | undefined): Record<string, string> {
-  return base ? { [BASE_HEADER]: formatId(base) } : {};
+export function formatBases(bases: readonly mesh.ConfigId[]): Record<string, string> {
+  return bases.length > 0 ? { [BASES_HEADER]: bases.map(formatId).join(' ') } : {};
 }
 
 /**
- * Parses the base of a request; undefined if it is missing or invalid.
+ * Parses the bases of a request, without those that are invalid.
  *
  * @example
- * parseBase(request.headers)?.version;
+ * parseBases(request.headers).map(({ version }) => version);
  */
-export function parseBase(headers: http.IncomingHttpHeaders): mesh.ConfigId | undefined {
-  const [version, digest, ...rest] = String(headers[BASE_HEADER] ?? '').split(' ');
-  if (!version || !digest || rest.length > 0 || !Number.isFinite(Number(version))) return undefined;
-  return { version: Number(version), digest };
+export function parseBases(headers: http.IncomingHttpHeaders): mesh.ConfigId[] {
+  return String(headers[BASES_HEADER] ?? '')
+    .split(' ')
+    .slice(0, MAX_BASES)
+    .flatMap((text) => {
+      const [version, digest] = text.split(':');
+      return digest ? [{ version: Number(version), digest }] : [];
+    });
 }
 
 /**
- * Formats the headers of a response that leads to the configuration `id`.
+ * Formats the headers of a response that leads to the configuration `id`, from `base` if its body
+ * contains changes.
  *
  * @example
- * response.writeHead(200, formatForm('delta', id));
+ * response.writeHead(200, formatForm(id, base));
  */
-export function formatForm(form: ConfigurationForm, id: mesh.ConfigId): Record<string, string> {
-  return { 'content-encoding': 'gzip', [FORM_HEADER]: `${form} ${formatId(id)}` };
+export function formatForm(
+  id: mesh.ConfigId,
+  base: mesh.ConfigId | undefined,
+): Record<string, string> {
+  const form = base ? `delta ${formatId(id)} ${formatId(base)}` : `whole ${formatId(id)}`;
+  return { 'content-encoding': 'gzip', [FORM_HEADER]: form };
 }
 
 /** Encodes a whole configuration. */
@@ -116,7 +127,7 @@
   return { form: 'whole', bytes };
 }
 
-/** Encodes the changes since the configuration that the asker holds. */
+/** Encodes the changes since a configuration that the asker holds. */
 export async function encodeDeltas(
   deltas: readonly mesh.ConfigDelta[],
 ): Promise<EncodedConfiguration> {
@@ -132,9 +143,10 @@
 
 async function applyDeltas(
   bytes: Buffer,
-  base: mesh.ConfigSnapshot | undefined,
-  expectedId: string,
+  bases: readonly mesh.ConfigSnapshot[],
+  ids: { expected: string | undefined; base: string | undefined },
 ): Promise<mesh.MeshConfig> {
+  const base = bases.find(({ id }) => formatId(id) === ids.base);
   if (!base) throw new errors.DeltaRefusedError('the base is unknown');
   let config;
   try {
@@ -144,24 +156,27 @@
     throw new errors.DeltaRefusedError((error as Error).message);
   }
   const digest = mesh.computeConfigDigest(config);
-  if (formatId({ version: config.version, digest }) !== expectedId)
+  if (formatId({ version: config.version, digest }) !== ids.expected)
     throw new errors.DeltaRefusedError('the digests differ');
   return config;
 }
 
 /**
- * Decodes a response to a request with the given base. A response without a form comes from an
+ * Decodes a response to a request with the given bases. A response without a form comes from an
  * older process, which sends whole configurations.
  *
  * @throws DeltaRefusedError if a delta is malformed or does not lead to the sender's configuration.
  * @throws Error if a whole configuration cannot be decoded.
+ * @example
+ * const { form, config } = await decodeConfiguration(message.headers, bytes, bases);
  */
 export async function decodeConfiguration(
   headers: http.IncomingHttpHeaders,
   bytes: Buffer,
-  base: mesh.ConfigSnapshot | undefined,
+  bases: readonly mesh.ConfigSnapshot[],
 ): Promise<{ form: ConfigurationForm; config: mesh.MeshConfig }> {
-  const [form, ...id] = String(headers[FORM_HEADER] ?? 'whole').split(' ');
-  if (form === 'delta') return { form, config: await applyDeltas(bytes, base, id.join(' ')) };
+  const [form, expected, base] = String(headers[FORM_HEADER] ?? 'whole').split(' ');
+  if (form === 'delta')
+    return { form, config: await applyDeltas(bytes, bases, { expected, base }) };
   return { form: 'whole', config: await decodeJson(bytes, configSchema) };
 }
--- a/packages/proxy/src/mesh/configuration-fetcher.ts
+++ b/packages/proxy/src/mesh/configuration-fetcher.ts
@@ -26,7 +26,7 @@
 function requestConfiguration(
   agent: http.Agent,
   endpoint: core.Endpoint,
-  base: mesh.ConfigId | undefined,
+  bases: readonly mesh.ConfigId[],
 ): Promise<{ headers: http.IncomingHttpHeaders; bytes: Buffer }> {
   return new Promise((resolve, reject) => {
     const request = http.get({
@@ -34,7 +34,7 @@
       host: endpoint.address,
       port: endpoint.port,
       path: CONFIGURATION_PATH,
-      headers: configurationCodec.formatBase(base),
+      headers: configurationCodec.formatBases(bases),
     });
     const timer = setTimeout(() => request.destroy(new Error('timeout')), FETCH_TIMEOUT_MS);
     request.once('close', () => clearTimeout(timer));
@@ -51,33 +51,37 @@
 }
 
 /**
- * Fetches the configuration that a peer holds, as changes to `base` if the peer knows it. If the
- * changes are refused, the whole configuration is fetched once.
+ * Fetches the configuration that a peer holds, as changes to one of `bases` if the peer
+ * knows one. If the changes are refused, the whole configuration is fetched once.
  *
  * @throws Error if the request fails, times out or has a response status other than 200, or if the
  * whole configuration is malformed.
  * @example
- * const { config, form } = await fetchConfiguration(ctx, agent, endpoint, history.getSnapshot());
+ * const { config, form } = await fetchConfiguration(ctx, agent, endpoint, history.listSnapshots());
  */
 export async function fetchConfiguration(
   ctx: Pick<context.MeshContext, 'log' | 'metrics'>,
   agent: http.Agent,
   endpoint: core.Endpoint,
-  base: mesh.ConfigSnapshot | undefined,
+  bases: readonly mesh.ConfigSnapshot[],
 ): Promise<types.FetchedConfiguration> {
-  const { headers, bytes } = await requestConfiguration(agent, endpoint, base?.id);
+  const { headers, bytes } = await requestConfiguration(
+    agent,
+    endpoint,
+    bases.map(({ id }) => id),
+  );
   try {
-    const decoded = await configurationCodec.decodeConfiguration(headers, bytes, base);
+    const decoded = await configurationCodec.decodeConfiguration(headers, bytes, bases);
     const { form } = decoded;
     ctx.metrics.count('configuration_fetched_bytes_total', { form }, bytes.length);
     return { ...decoded, bytes: bytes.length };
   } catch (error) {
-    if (!base || !(error instanceof errors.DeltaRefusedError)) throw error;
+    if (bases.length === 0 || !(error instanceof errors.DeltaRefusedError)) throw error;
     ctx.log.warn('configuration-delta-refused', {
       from: endpoint.address,
-      base: base.id.version,
+      held: bases[0]?.id.version,
       message: error.message,
     });
-    return fetchConfiguration(ctx, agent, endpoint, undefined);
+    return fetchConfiguration(ctx, agent, endpoint, []);
   }
 }
--- a/packages/proxy/src/mesh/configuration-sender.ts
+++ b/packages/proxy/src/mesh/configuration-sender.ts
@@ -9,11 +9,17 @@
   send(request: http.IncomingMessage, response: http.ServerResponse): void;
 }
 
+/** Body of a response; `base` is undefined if it contains the whole configuration. */
+interface Reply {
+  base: mesh.ConfigId | undefined;
+  body: Promise<configurationCodec.EncodedConfiguration>;
+}
+
 const WHOLE_KEY = 'whole';
 
 /**
- * Creates a sender. A peer whose configuration the history reaches back to receives the changes
- * since then, any other the whole configuration.
+ * Creates a sender. A peer that holds a configuration within reach of the history receives the
+ * changes since then, any other the whole configuration.
  *
  * @example
  * createConfigurationSender(ctx, history).send(request, response);
@@ -23,23 +29,24 @@
   history: Pick<mesh.ConfigHistory, 'getSnapshot' | 'listDeltas'>,
 ): ConfigurationSender {
   const { log, metrics } = ctx;
-  /** Bodies by the asker's base: many peers fetch a new version at the same time. */
-  const bodies = new Map<string, Promise<configurationCodec.EncodedConfiguration>>();
-  let encodedConfig: mesh.MeshConfig | undefined;
+  /** By the digest of the base: many peers fetch a new version at the same time. */
+  const replies = new Map<string, Reply>();
+  let repliedConfig: mesh.MeshConfig | undefined;
 
-  const encode = (
-    { config }: mesh.ConfigSnapshot,
-    base: mesh.ConfigId | undefined,
-  ): Promise<configurationCodec.EncodedConfiguration> => {
-    if (encodedConfig !== config) bodies.clear();
-    encodedConfig = config;
+  const encode = (config: mesh.MeshConfig, bases: readonly mesh.ConfigId[]): Reply => {
+    if (repliedConfig !== config) replies.clear();
+    repliedConfig = config;
+    const base = bases.find((id) => history.listDeltas(id) !== undefined);
+    const key = base?.digest ?? WHOLE_KEY;
     const deltas = base && history.listDeltas(base);
-    const key = deltas ? `${base.version} ${base.digest}` : WHOLE_KEY;
-    const body =
-      bodies.get(key) ??
-      (deltas ? configurationCodec.encodeDeltas(deltas) : configurationCodec.encodeWhole(config));
-    bodies.set(key, body);
-    return body;
+    const reply = replies.get(key) ?? {
+      base,
+      body: deltas
+        ? configurationCodec.encodeDeltas(deltas)
+        : configurationCodec.encodeWhole(config),
+    };
+    replies.set(key, reply);
+    return reply;
   };
 
   return {
@@ -49,11 +56,15 @@
         response.writeHead(constants.HTTP.unavailable).end();
         return;
       }
-      encode(snapshot, configurationCodec.parseBase(request.headers))
+      const { base, body } = encode(
+        snapshot.config,
+        configurationCodec.parseBases(request.headers),
+      );
+      body
         .then(({ form, bytes }) => {
           metrics.count('configuration_sent_bytes_total', { form }, bytes.length);
           response
-            .writeHead(constants.HTTP.ok, configurationCodec.formatForm(form, snapshot.id))
+            .writeHead(constants.HTTP.ok, configurationCodec.formatForm(snapshot.id, base))
             .end(bytes);
         })
         .catch((error: Error) => {
--- a/packages/proxy/src/mesh/peer-client.ts
+++ b/packages/proxy/src/mesh/peer-client.ts
@@ -24,13 +24,13 @@
     handler: PeerAttemptHandler,
   ): types.CancellableAttempt;
   /**
-   * Fetches the configuration that a peer holds, as changes to `base` if the peer knows it.
+   * Fetches the configuration that a peer holds, as changes to one of `bases` if the peer knows one.
    *
    * @throws Error if the request fails, times out or has a response status other than 200.
    */
   fetchConfig(
     endpoint: core.Endpoint,
-    base: mesh.ConfigSnapshot | undefined,
+    bases: readonly mesh.ConfigSnapshot[],
   ): Promise<types.FetchedConfiguration>;
   close(): void;
 }
@@ -210,8 +210,8 @@
 
   return {
     run,
-    fetchConfig: (endpoint, base) =>
-      configurationFetcher.fetchConfiguration(ctx, agent, endpoint, base),
+    fetchConfig: (endpoint, bases) =>
+      configurationFetcher.fetchConfiguration(ctx, agent, endpoint, bases),
     close: () => agent.destroy(),
   };
 }
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -87,7 +87,7 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- tasks depend on one another
     getMembers: () => members,
     fetchFromPeer: ({ info }) =>
-      peers.fetchConfig({ address: info.address, port: info.peerPort }, history.getSnapshot()),
+      peers.fetchConfig({ address: info.address, port: info.peerPort }, history.listSnapshots()),
     getVersion: () => routes?.config.version,
     applyConfig,
   });
--- a/packages/proxy/test/mesh-configuration-fetch.test.ts
+++ b/packages/proxy/test/mesh-configuration-fetch.test.ts
@@ -14,7 +14,7 @@
 
 const ADDRESS = '127.0.101.1';
 const PORT = 21_504;
-const BASE_HEADER = 'x-figshed-configuration-base';
+const BASES_HEADER = 'x-figshed-configuration-bases';
 const FORM_HEADER = 'x-figshed-configuration';
 const HTTP_OK = 200;
 
@@ -71,7 +71,7 @@
 async function fetchFrom(
   handle: http.RequestListener,
   ctx: context.MeshContext,
-  base: mesh.ConfigSnapshot | undefined,
+  bases: readonly mesh.ConfigSnapshot[],
 ) {
   const agent = new http.Agent();
   const server = http.createServer(handle);
@@ -80,7 +80,7 @@
   });
   try {
     const endpoint = { address: ADDRESS, port: PORT };
-    return await configurationFetcher.fetchConfiguration(ctx, agent, endpoint, base);
+    return await configurationFetcher.fetchConfiguration(ctx, agent, endpoint, bases);
   } finally {
     agent.destroy();
     server.closeAllConnections();
@@ -100,28 +100,37 @@
 
 /** Responds with a body in the form of changes to a process that names its configuration. */
 const sendChanges =
-  (body: Buffer, digest: string): http.RequestListener =>
+  (body: Buffer, id: string, baseId: string): http.RequestListener =>
   (request, response) => {
-    if (request.headers[BASE_HEADER] === undefined) sendWhole(request, response);
-    else response.writeHead(HTTP_OK, { [FORM_HEADER]: `delta 3 ${digest}` }).end(body);
+    if (request.headers[BASES_HEADER] === undefined) sendWhole(request, response);
+    else response.writeHead(HTTP_OK, { [FORM_HEADER]: `delta ${id} ${baseId}` }).end(body);
   };
 
 describe('fetch of a configuration from a peer', () => {
   it('transfers the changes to a peer that holds a recent version, and the whole to others', async () => {
     const { ctx, problems } = createFixture();
     const sender = configurationSender.createConfigurationSender(ctx, createHistory(1, 2, 3));
-    const known = await fetchFrom(sender.send, ctx, createHistory(1).getSnapshot());
-    const unknown = await fetchFrom(sender.send, ctx, createHistory(0).getSnapshot());
-    const first = await fetchFrom(sender.send, ctx, undefined);
+    const known = await fetchFrom(sender.send, ctx, createHistory(1).listSnapshots());
+    const unknown = await fetchFrom(sender.send, ctx, createHistory(0).listSnapshots());
+    const first = await fetchFrom(sender.send, ctx, []);
     assert.deepEqual([known.form, unknown.form, first.form], ['delta', 'whole', 'whole']);
     [known, unknown, first].forEach(({ config }) => assert.deepEqual(config, createConfig(3)));
     assert.ok(known.bytes < first.bytes, `${known.bytes} and ${first.bytes}`);
     assert.deepEqual(problems, []);
   });
 
+  it('transfers the changes to a peer whose newest version the sender has skipped', async () => {
+    const { ctx, problems } = createFixture();
+    const sender = configurationSender.createConfigurationSender(ctx, createHistory(1, 3));
+    const fetched = await fetchFrom(sender.send, ctx, createHistory(1, 2).listSnapshots());
+    assert.equal(fetched.form, 'delta');
+    assert.deepEqual(fetched.config, createConfig(3));
+    assert.deepEqual(problems, []);
+  });
+
   it('accepts the whole configuration of an older process', async () => {
     const { ctx, problems } = createFixture();
-    const fetched = await fetchFrom(sendWhole, ctx, createHistory(1).getSnapshot());
+    const fetched = await fetchFrom(sendWhole, ctx, createHistory(1).listSnapshots());
     assert.equal(fetched.form, 'whole');
     assert.deepEqual(fetched.config, createConfig(3));
     assert.deepEqual(problems, []);
@@ -150,22 +159,25 @@
 
   const [base, next] = [createConfig(1), createConfig(3)];
   const delta = mesh.computeDelta(base, next);
-  const { digest } = (createHistory(3).getSnapshot() as mesh.ConfigSnapshot).id;
+  const formatId = (config: mesh.MeshConfig): string =>
+    `${config.version}:${mesh.computeConfigDigest(config)}`;
+  const [id, baseId] = [formatId(next), formatId(base)];
   const unfit = { ...delta, routes: { ...delta.routes, removed: [1_000] } };
-  const malformed: [string, Buffer, string][] = [
-    ['not compressed', Buffer.from('{'), digest],
-    ['not JSON', zlib.gzipSync('{'), digest],
-    ['not in the schema', compress([{ ...delta, routes: null }]), digest],
-    ['for another configuration', compress([unfit]), digest],
-    ['with another result', compress([delta]), 'other'],
-    ['of another version', compress([{ ...delta, version: 4 }]), digest],
-    ['of too many steps', compress(Array.from({ length: 100 }, () => delta)), digest],
+  const malformed: [string, Buffer, string, string][] = [
+    ['not compressed', Buffer.from('{'), id, baseId],
+    ['not JSON', zlib.gzipSync('{'), id, baseId],
+    ['not in the schema', compress([{ ...delta, routes: null }]), id, baseId],
+    ['for another configuration', compress([unfit]), id, baseId],
+    ['with another result', compress([delta]), '3:other', baseId],
+    ['from an unknown base', compress([delta]), id, '1:other'],
+    ['of another version', compress([{ ...delta, version: 4 }]), id, baseId],
+    ['of too many steps', compress(Array.from({ length: 100 }, () => delta)), id, baseId],
   ];
-  malformed.forEach(([name, body, expectedDigest]) =>
+  malformed.forEach(([name, body, ...ids]) =>
     it(`fetches the whole configuration when the changes are ${name}`, async () => {
       const { ctx, problems } = createFixture();
-      const snapshot = createHistory(1).getSnapshot();
-      const fetched = await fetchFrom(sendChanges(body, expectedDigest), ctx, snapshot);
+      const snapshots = createHistory(1).listSnapshots();
+      const fetched = await fetchFrom(sendChanges(body, ...ids), ctx, snapshots);
       assert.equal(fetched.form, 'whole');
       assert.deepEqual(fetched.config, next);
       assert.deepEqual(problems, ['configuration-delta-refused']);
@@ -174,8 +186,8 @@
 
   it('applies well-formed changes', async () => {
     const { ctx, problems } = createFixture();
-    const handle = sendChanges(compress([delta]), digest);
-    const fetched = await fetchFrom(handle, ctx, createHistory(1).getSnapshot());
+    const handle = sendChanges(compress([delta]), id, baseId);
+    const fetched = await fetchFrom(handle, ctx, createHistory(1).listSnapshots());
     assert.equal(fetched.form, 'delta');
     assert.deepEqual(fetched.config, next);
     assert.deepEqual(problems, []);
@@ -186,6 +198,6 @@
     const handle: http.RequestListener = (_, response) => {
       response.writeHead(HTTP_OK).end(compress({ version: 3, routes: 'none' }));
     };
-    await assert.rejects(fetchFrom(handle, ctx, undefined));
+    await assert.rejects(fetchFrom(handle, ctx, []));
   });
 });
