Configuration: read the source when a peer holds less than it announced

What callers saw: none seen. A process that fetched an older version than its peer had announced asked the same peer again at once, without end, as long as the two differed: a peer that restarts on an older copy of the store, or one odd version in gossip, is enough.

Found by reading.

Such a fetch now counts as failed: the version it brought is applied if it is newer, the holder is dropped and the source is read. The loop ends with the task.

--- a/packages/proxy/src/mesh/configuration-task.ts
+++ b/packages/proxy/src/mesh/configuration-task.ts
@@ -2,6 +2,7 @@
 import * as core from '@figshed/core';
 import * as mesh from '@figshed/core/mesh';
 import type * as context from './context.js';
+import * as errors from './errors.js';
 import type * as gossipMembers from './gossip-members.js';
 import type * as types from './types.js';
 
@@ -115,12 +116,13 @@
     preferredHolder !== undefined && preferredHolder.version > (getVersion() ?? NO_VERSION);
 
   const fetchFromHolder = async (): Promise<void> => {
-    if (isFetching || !isBehind() || !preferredHolder) return;
+    if (isStopped || isFetching || !isBehind() || !preferredHolder) return;
     isFetching = true;
     const holder = preferredHolder;
     try {
       const { config, ...transfer } = await fetchFromPeer(holder.member);
       applyConfig(config, holder.member.id, transfer);
+      if (config.version < holder.version) throw new errors.OlderVersionError(config.version);
       if (config.version === holder.version) pollSchedule.recordConfirmation(holder.confirmedAt);
       const nearbyIds = listDataCentreIds();
       if (computeRank(nearbyIds) === 0) sendVersion(nearbyIds);
--- a/packages/proxy/src/mesh/errors.ts
+++ b/packages/proxy/src/mesh/errors.ts
@@ -25,3 +25,10 @@
     super('DELTA_REFUSED', finding);
   }
 }
+
+/** A peer holds an older configuration than the one that it announced. */
+export class OlderVersionError extends core.FigshedError {
+  public constructor(version: number) {
+    super('OLDER_VERSION', `the peer holds only version ${version}`);
+  }
+}
