--- a/packages/proxy/src/mesh/configuration-task.ts
+++ b/packages/proxy/src/mesh/configuration-task.ts
@@ -2,6 +2,7 @@
 import * as core from '@figshed/core';
 import * as mesh from '@figshed/core/mesh';
 import type * as context from './context.js';
+import * as errors from './errors.js';
 import type * as gossipMembers from './gossip-members.js';
 import type * as types from './types.js';
 
@@ -20,10 +21,15 @@
   ctx: context.MeshContext;
   source: types.ConfigurationSource;
   getMembers: () => Pick<gossipMembers.Members, 'list' | 'sendVersion'>;
-  fetchFromPeer: (member: core.Member) => Promise<mesh.MeshConfig>;
+  fetchFromPeer: (member: core.Member) => Promise<types.FetchedConfiguration>;
   /** Returns the version in force; undefined before the first configuration. */
   getVersion: () => number | undefined;
-  applyConfig: (config: mesh.MeshConfig, from: string) => void;
+  /** `transfer` tells how a configuration came from a peer. */
+  applyConfig: (
+    config: mesh.MeshConfig,
+    from: string,
+    transfer?: Omit<types.FetchedConfiguration, 'config'>,
+  ) => void;
 }
 
 /**
@@ -110,12 +116,13 @@
     preferredHolder !== undefined && preferredHolder.version > (getVersion() ?? NO_VERSION);
 
   const fetchFromHolder = async (): Promise<void> => {
-    if (isFetching || !isBehind() || !preferredHolder) return;
+    if (isStopped || isFetching || !isBehind() || !preferredHolder) return;
     isFetching = true;
     const holder = preferredHolder;
     try {
-      const config = await fetchFromPeer(holder.member);
-      applyConfig(config, holder.member.id);
+      const { config, ...transfer } = await fetchFromPeer(holder.member);
+      applyConfig(config, holder.member.id, transfer);
+      if (config.version < holder.version) throw new errors.OlderVersionError(config.version);
       if (config.version === holder.version) pollSchedule.recordConfirmation(holder.confirmedAt);
       const nearbyIds = listDataCentreIds();
       if (computeRank(nearbyIds) === 0) sendVersion(nearbyIds);
@@ -180,8 +187,9 @@
       const configs = await source.read(waitMs, readController.signal);
       configs.forEach((config) => applyConfig(config, 'source'));
       markSourceReachable();
-      // Assumes that an empty result came at the end of the wait; any other result comes at once.
-      pollSchedule.recordConfirmation(configs.length === 0 ? readAt + waitMs : readAt);
+      // An empty result came at the end of the wait, or earlier when the source has no configuration.
+      const respondedAt = Math.min(readAt + waitMs, clock.monotonic());
+      pollSchedule.recordConfirmation(configs.length === 0 ? respondedAt : readAt);
       sendVersion(listReaderGroup());
       if (configs.length > 0) await timers.setTimeout(BATCH_DELAY_SHARE * applyWithinMs);
     } catch (error) {
--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -6,6 +6,7 @@
 import type * as context from './context.js';
 import * as keepAliveAgent from './keep-alive-agent.js';
 import * as meshHeaders from './mesh-headers.js';
+import * as responseBytes from './response-bytes.js';
 import type * as types from './types.js';
 
 /** Runs attempts at the target on this host, within its slots and only while its gate is open. */
@@ -157,25 +158,34 @@
       return;
     }
     const { headers } = message;
-    if (status === constants.HTTP.misdirected) {
-      message.resume();
+    const isMisdirected = status === constants.HTTP.misdirected;
+    const isNotExecuted = headers[protocol.notExecutedHeader] !== undefined;
+    const isFromTarget =
+      isMisdirected || isNotExecuted || headers[protocol.signatureHeader] !== undefined;
+    if (status < constants.HTTP.ok) {
+      message.destroy();
+      failAttempt(key, 'invalid-status');
+      return;
+    }
+    // A response to another call, a refusal included, must not count as the response to this one.
+    const hasMatchingCallId = headers[protocol.callIdHeader] === entry.attempt.callId;
+    if (!hasMatchingCallId || !isFromTarget) {
+      message.destroy();
+      failAttempt(key, hasMatchingCallId ? 'answer-without-signature' : 'answer-of-another-call');
+      return;
+    }
+    if (isMisdirected) {
+      responseBytes.discardBody(message);
       markTargetDown(entry.instanceId, 'another-instance');
       refuseStarted(key, 'wrong-instance');
       return;
     }
-    if (headers[protocol.notExecutedHeader] !== undefined) {
-      message.resume();
+    if (isNotExecuted) {
+      responseBytes.discardBody(message);
       updateFailureShare(true);
       refuseStarted(key, 'target-refused');
       return;
     }
-    // A response to another request, or one not made by a target, must not reach the caller.
-    const hasMatchingCallId = headers[protocol.callIdHeader] === entry.attempt.callId;
-    if (!hasMatchingCallId || headers[protocol.signatureHeader] === undefined) {
-      message.destroy();
-      failAttempt(key, hasMatchingCallId ? 'answer-without-signature' : 'answer-of-another-call');
-      return;
-    }
     const settleAttempt = (): void => {
       if (!openAttempts.delete(key)) return;
       const tookMs = clock.monotonic() - entry.sentAt;
@@ -228,7 +238,12 @@
     const overrunTimer = setTimeout(() => {
       request.destroy(new Error('deadline-overrun'));
     }, remainingMs + constants.DEADLINE_GRACE_MS);
-    request.once('close', () => clearTimeout(overrunTimer));
+    let hasResponse = false;
+    request.once('close', () => {
+      clearTimeout(overrunTimer);
+      // Node.js emits neither a response nor an error for a 101 that nobody requested.
+      if (!hasResponse) failAttempt(key, 'closed');
+    });
     keepAliveAgent.watchConnect(
       request,
       constants.TARGET_CONNECT_TIMEOUT_MS,
@@ -237,7 +252,9 @@
       },
       () => request.destroy(new Error('connect-timeout')),
     );
+    responseBytes.watchHeadBytes(request, () => request.destroy(new Error('head-too-large')));
     request.on('response', (message) => {
+      hasResponse = true;
       message.on('error', () => undefined);
       handleResponse(key, message, upstreamResponse.trackCompletion(request, message));
     });
--- a/packages/proxy/src/mesh/types.ts
+++ b/packages/proxy/src/mesh/types.ts
@@ -1,8 +1,16 @@
 /** Interfaces between the route mesh and the platform that it runs on. */
 import type * as mesh from '@figshed/core/mesh';
 import type * as core from '@figshed/core';
+import type * as configurationCodec from './configuration-codec.js';
 import type * as upstreamResponse from './upstream-response.js';
 
+/** Configuration that was fetched from a peer; `bytes` is the size of the response's body. */
+export interface FetchedConfiguration {
+  config: mesh.MeshConfig;
+  form: configurationCodec.ConfigurationForm;
+  bytes: number;
+}
+
 export interface ConfigurationSource {
   /**
    * Long-polls for configurations newer than the last read, newest last; empty if there are none
@@ -19,6 +27,19 @@
   /** Lists the registered processes; some of them may have stopped. */
   list(): Promise<core.Endpoint[]>;
   deregister(): Promise<void>;
+  /** Writes this process's last registration or deregistration again, for a registry that lost it. */
+  renew(): Promise<void>;
+}
+
+/**
+ * Epoch of the data behind the configuration source and the host registry. It rises when they have
+ * lost what they had acknowledged.
+ */
+export interface SourceEpoch {
+  /** Returns the highest epoch received; undefined before the first. */
+  get(): number | undefined;
+  /** Calls the listener at each change; `before` is undefined for the first epoch. */
+  onChange(listener: (epoch: number, before: number | undefined) => void): void;
 }
 
 /** Parsed message of a target to its proxy; `unreadable` and `unknown-path` are rejected. */
@@ -53,6 +74,7 @@
 export interface PlatformAdapter {
   configurationSource: ConfigurationSource;
   hostRegistry: HostRegistry;
+  sourceEpoch: SourceEpoch;
   announcementParser: AnnouncementParser;
   protocol: CallProtocol;
 }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -10,5 +10,12 @@
 export { startMeshTarget, type MeshTarget, type CallRun } from './mesh/mesh-target.js';
 export { createMeshConfig, type MeshConfigOptions } from './mesh/mesh-config.js';
 export { startFaultLink, type FaultLink, type LinkFaults } from './mesh-soak/fault-link.js';
+export {
+  createEndlessResponder,
+  createRefusalRepeater,
+  createTextResponder,
+  type EndlessOptions,
+  type RefusalOptions,
+} from './mesh/raw-responses.js';
 export { encodeKeyedRecord, appendConfig } from './store/keyed-record.js';
 export { startStoreServer, type StoreFaults, type StoreServer } from './store/store-server.js';
