Stand-ins, fault link: pass a reset on that is read together with the last bytes

Cause: libuv reports a reset that is read together with the last bytes as an orderly end. The link passed it on as one, after which no receiver can tell that the body is cut. The proxy checks for this case; the link did not.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -9,6 +9,7 @@
 } from './mesh/mesh-fleet.js';
 export { startMeshTarget, type MeshTarget, type CallRun } from './mesh/mesh-target.js';
 export { createMeshConfig, type MeshConfigOptions } from './mesh/mesh-config.js';
+export { resetSocket } from './reset-socket.js';
 export { startFaultLink, type FaultLink, type LinkFaults } from './mesh-soak/fault-link.js';
 export {
   createEndlessResponder,
--- a/packages/stand-ins/src/mesh-soak/fault-link.ts
+++ b/packages/stand-ins/src/mesh-soak/fault-link.ts
@@ -64,8 +64,11 @@
       else responses.add(() => client.write(chunk));
     });
     client.on('end', () => requests.add(() => upstream.end()));
+    let isReset = false;
     upstream.on('end', () => {
-      if (!shouldDropData()) responses.add(() => client.end());
+      // A reset that is read together with the last bytes is reported as an end, without an address.
+      isReset = upstream.remoteAddress === undefined;
+      if (!isReset && !shouldDropData()) responses.add(() => client.end());
     });
     // Data in transit arrives before the end of its connection.
     client.on('error', () => undefined);
@@ -76,7 +79,7 @@
     upstream.on('error', () => undefined);
     upstream.on('close', () =>
       responses.add(() => {
-        if (upstream.errored) resetSocket.resetSocket(client);
+        if (upstream.errored || isReset) resetSocket.resetSocket(client);
         client.destroy();
       }),
     );
