Calls: a response that is streamed replaces one that was buffered

What callers saw: a process ended by itself, and with it all its calls, after a read whose first target failed and whose second sent a large response.

Cause: the buffered failure was delivered when the stream ended, although the head had been written: ERR_HTTP_HEADERS_SENT, uncaught. No hedge is needed; an ordinary retry is enough, and since late acknowledgements keep attempts open, one more way leads there.

--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -162,6 +162,7 @@
       callAttempts.bufferResponse(upstream, byteBudget, {
         onTooLarge(chunks) {
           streamedAttempt = attemptNumber;
+          bufferedResponse = undefined;
           lastHostId = hostId;
           handleEvent({ type: 'streaming' });
           clearTimeout(deadlineTimer);
