Caller server: bytes that are no request do not answer a running call

What callers saw: none reported; found in review. While a call was running, bytes behind it on the same connection that are no request, or a second head that took too long, were answered at once with 400, 408 or 431. The caller takes that as the answer to the running call; 408 says that it did not run.

Cause: Node.js writes its own error response to the socket when there is no listener, whatever is pending on it.

Evidence: the new test on the code before: 400 Bad Request instead of the target's 200 for an order that was running.

While calls are pending, nothing is written, and the connection ends after the last response; without pending calls the same statuses are sent as before, and a request-refused line says why.

--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -40,6 +40,8 @@
   pendingResponses: Map<http.ServerResponse, () => void>;
   /** True once a response with `Connection: close` has been written. */
   isClosing: boolean;
+  /** True once bytes have arrived that are no request, or a head that took too long. */
+  hasInvalidRequest: boolean;
 }
 
 /** Fixed when the server is created; `maxHeaderBytes` of the configuration is not applied. */
@@ -72,7 +74,11 @@
   const getConnection = (socket: net.Socket): Connection => {
     const existing = connections.get(socket);
     if (existing) return existing;
-    const connection: Connection = { pendingResponses: new Map(), isClosing: false };
+    const connection: Connection = {
+      pendingResponses: new Map(),
+      isClosing: false,
+      hasInvalidRequest: false,
+    };
     connections.set(socket, connection);
     socket.once('close', () => {
       connections.delete(socket);
@@ -154,6 +160,11 @@
     [errors.ByteBudgetExceededError, constants.HTTP.unavailable],
   ]);
 
+  const statusByParseError = new Map<string | undefined, number>([
+    ['HPE_HEADER_OVERFLOW', constants.HTTP.headersTooLarge],
+    ['ERR_HTTP_REQUEST_TIMEOUT', constants.HTTP.requestTimeout],
+  ]);
+
   const readDeadlineMs = (request: http.IncomingMessage): number => {
     const value = Number(request.headers[protocol.deadlineHeader]);
     return Number.isFinite(value) && value > 0 ? value : constants.DEFAULT_DEADLINE_MS;
@@ -184,7 +195,8 @@
       if (connection.pendingResponses.delete(response)) openCalls -= 1;
       // Ends the connection here if its last response had no `Connection: close`, because its head was
       // written before `close`.
-      if (isClosed && connection.pendingResponses.size === 0 && !connection.isClosing) socket.end();
+      const mustEnd = connection.hasInvalidRequest || (isClosed && !connection.isClosing);
+      if (mustEnd && connection.pendingResponses.size === 0) socket.end();
     };
     response.once('finish', removeCall);
     response.once('close', () => {
@@ -243,6 +255,23 @@
     handleRequest,
   );
 
+  /**
+   * Rejects what cannot be parsed. While calls are pending, it writes nothing, since the caller would
+   * take it as the response to the first of them; the connection ends after the last.
+   */
+  server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
+    const socket = stream as net.Socket;
+    const connection = connections.get(socket);
+    if (connection && connection.pendingResponses.size > 0) {
+      connection.hasInvalidRequest = true;
+      return;
+    }
+    if (error.code === 'ECONNRESET' || !socket.writable) return;
+    const status = statusByParseError.get(error.code) ?? constants.HTTP.badRequest;
+    log.info('request-refused', { status, message: error.message });
+    socket.end(`HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+  });
+
   return {
     async start() {
       const { address, port } = settings.callers;
