--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -292,7 +292,12 @@
     const effectHandlers: { [K in mesh.CallEffect['type']]: EffectHandler<K> } = {
       send: ({ mayBeLate }) => sendAttempt(mayBeLate),
       cancel() {
-        logger.logAttempt(call, { hostId: lastHostId, result: 'cancelled', cause: 'not-needed' });
+        logger.logAttempt(call, {
+          hostId: lastHostId,
+          result: 'cancelled',
+          cause: 'not-needed',
+          tookMs: clock.monotonic() - call.receivedAt,
+        });
         attempts.cancel(streamedAttempt);
       },
       deliver() {
--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -317,9 +317,14 @@
     return false;
   };
 
-  const applyVerdict = (verdict: mesh.GateVerdict, id: string, cause: string): mesh.GateVerdict => {
+  const applyVerdict = (
+    verdict: mesh.GateVerdict,
+    message: { id: string; bornAt: number | undefined; sequence?: number },
+    cause: string,
+  ): mesh.GateVerdict => {
     if (verdict === 'kept') return verdict;
-    log.info('target-gate', { target: id, verdict, cause });
+    const { id, bornAt, sequence } = message;
+    log.info('target-gate', { target: id, verdict, cause, bornAt, sequence });
     if (verdict === 'closed') queue.drain().forEach((key) => refuse(key, 'draining'));
     if (verdict !== 'stale') onChange();
     return verdict;
@@ -360,9 +365,10 @@
       if (target) applyEffects(queue.setSlots(target.slots, now));
       if (verdict === 'opened') failureShare = 0;
       if (verdict === 'kept' && wasCold && !isCold()) onChange();
-      return applyVerdict(verdict, announcement.id, announcement.state);
+      return applyVerdict(verdict, announcement, announcement.state);
     },
-    deregister: (id, bornAt) => applyVerdict(gate.deregister(id, bornAt), id, 'deregistered'),
+    deregister: (id, bornAt) =>
+      applyVerdict(gate.deregister(id, bornAt), { id, bornAt }, 'deregistered'),
     getLoad: () => ({ ...queue.getLoad(clock.monotonic()), failureShare }),
     getOpenTarget: () => gate.getOpenTarget(),
     isCold,
