Calls: do not start an attempt whose caller has already disconnected

Cause: a request and the close that follows it can lie unread in one socket while the process is busy. Node.js reads the close a turn of the event loop after the request, so the attempt was started in between. The same happens at the caller's host and beside the target, also for an attempt that had waited for a slot or for its second try while the loop stood still.

Change: an attempt is sent, and started, only after all sockets have been polled once more (`waitForSocketPoll`); a connection that has ended by then counts as closed. A read is no longer counted as sent before its bytes are written.

--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -7,6 +7,7 @@
 import * as callLog from './call-log.js';
 import * as constants from './constants.js';
 import type * as context from './context.js';
+import * as eventLoop from './event-loop.js';
 import type * as peerClient from './peer-client.js';
 import type * as localTarget from './local-target.js';
 import type * as targetTable from './target-table.js';
@@ -39,6 +40,8 @@
   stream(upstream: upstreamResponse.UpstreamResponse, receivedChunks: readonly Buffer[]): void;
   refuse(status: number, retryAfterMs: number): void;
   abort(): void;
+  /** Returns false once the caller has closed its connection, possibly before it is closed here. */
+  isConnected(): boolean;
 }
 
 export interface CallRunner {
@@ -199,7 +202,12 @@
       attemptNumber: number,
       openedAt: number,
     ): peerClient.PeerAttemptHandler => ({
-      provideBody: () => Promise.resolve(attempts.has(attemptNumber) ? call.body : undefined),
+      async provideBody() {
+        await eventLoop.waitForSocketPoll();
+        // eslint-disable-next-line @typescript-eslint/no-use-before-define -- a disconnect cancels attempts
+        if (!responder.isConnected()) handleDisconnect();
+        return attempts.has(attemptNumber) ? call.body : undefined;
+      },
       onHostResponded: () => targets.recordResponse(hostId),
       onUnacknowledged() {
         if (attempts.has(attemptNumber)) handleEvent({ type: 'unacknowledged' });
@@ -323,12 +331,14 @@
       expireCall,
       Math.max(0, effectiveDeadlineAt - RESPONSE_MARGIN_MS - clock.monotonic()),
     );
-    handleEvent({ type: 'start' });
-    return () => {
+    const handleDisconnect = (): void => {
       if (stateMachine.isFinished()) return;
       handleEvent({ type: 'caller-left' });
       recordEnd('caller-left', 0);
     };
+
+    handleEvent({ type: 'start' });
+    return handleDisconnect;
   };
 
   return { run };
--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -153,6 +153,7 @@
     abort() {
       response.destroy();
     },
+    isConnected: () => !response.destroyed && !response.req.socket.readableEnded,
   });
 
   const statusByBodyError = new Map<unknown, number>([
--- a/packages/proxy/src/mesh/peer-client.ts
+++ b/packages/proxy/src/mesh/peer-client.ts
@@ -73,7 +73,7 @@
   ): types.CancellableAttempt => {
     const now = clock.monotonic();
     let hasEnded = false;
-    let isBodySent = attempt.isRepeatable;
+    let isBodySent = false;
     let isConnected = false;
     let connectMs = 0;
 
@@ -144,9 +144,7 @@
       },
       () => fail('connect-timeout'),
     );
-    request.on('information', recordAcknowledgement);
-    request.on('continue', () => {
-      recordAcknowledgement();
+    const sendBody = (): void => {
       handler
         .provideBody()
         .then((body) => {
@@ -158,6 +156,11 @@
           request.end(body);
         })
         .catch((error: Error) => fail(error.message));
+    };
+    request.on('information', recordAcknowledgement);
+    request.on('continue', () => {
+      recordAcknowledgement();
+      sendBody();
     });
     request.on('error', (error) => fail(error.message));
     request.on('close', () => {
@@ -197,12 +200,8 @@
         isComplete: upstreamResponse.trackCompletion(request, message),
       });
     });
-    if (attempt.isRepeatable) {
-      handler
-        .provideBody()
-        .then((body) => request.end(body ?? Buffer.alloc(0)))
-        .catch((error: Error) => fail(error.message));
-    } else request.flushHeaders();
+    if (attempt.isRepeatable) sendBody();
+    else request.flushHeaders();
 
     return {
       cancel() {
--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -8,6 +8,7 @@
 import type * as configurationSender from './configuration-sender.js';
 import * as constants from './constants.js';
 import type * as context from './context.js';
+import * as eventLoop from './event-loop.js';
 import * as meshHeaders from './mesh-headers.js';
 import type * as localTarget from './local-target.js';
 import type * as types from './types.js';
@@ -180,24 +181,27 @@
     }, constants.ACKNOWLEDGEMENT_DELAY_MS);
     response.once('close', () => clearTimeout(acknowledgementTimer));
     let isPeerDisconnected = false;
-    const provideBody = async (): Promise<Buffer | undefined> => {
-      if (isPeerDisconnected) return undefined;
-      if (earlyBody) return earlyBody.catch(() => undefined);
+    const readLateBody = async (): Promise<Buffer | undefined> => {
       clearTimeout(acknowledgementTimer);
       response.writeContinue();
       const timeout = new AbortController();
       try {
-        const body = await Promise.race([
+        return await Promise.race([
           bodyReader.readBody(request, byteBudget),
           timers.setTimeout(constants.BODY_TIMEOUT_MS, undefined, { signal: timeout.signal }),
         ]);
-        return isPeerDisconnected ? undefined : body;
-      } catch {
-        return undefined;
       } finally {
         timeout.abort();
       }
     };
+    const provideBody = async (): Promise<Buffer | undefined> => {
+      if (isPeerDisconnected) return undefined;
+      const body = await (earlyBody ?? readLateBody()).catch(() => undefined);
+      await eventLoop.waitForSocketPoll();
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- cancels the attempt that asks
+      if (request.socket.readableEnded) handlePeerDisconnect();
+      return isPeerDisconnected ? undefined : body;
+    };
     const attempt = target.run(
       {
         callId: metadata.callId,
@@ -215,11 +219,12 @@
       createAttemptHandler(request, response, metadata.route, provideBody),
       pacer.estimateTransferMs(metadata.route, now),
     );
-    response.once('close', () => {
-      if (response.writableFinished) return;
+    const handlePeerDisconnect = (): void => {
+      if (isPeerDisconnected || response.writableFinished) return;
       isPeerDisconnected = true;
       attempt.cancel();
-    });
+    };
+    response.once('close', handlePeerDisconnect);
   };
 
   const handleRequest = (
