Target gate: a deregistration also counts while the target is marked down

A target that had deregistered, and whose deregistration was acknowledged, got requests again until it ended.

The gate bound them to the incarnation that was open. A target that was marked down before, after a failed connection or a 421, was not, so only a key was recorded that no announcement has, and the next or a late heartbeat opened the gate. The same happened in a process that had just started and had not heard of the target yet.

Change: a deregistration without start time closes the last announced incarnation of its id. If none is known, announcements of the id are ignored for 10 s, since they can be some seconds late. One with a start time also closes an incarnation that was announced without.

The stand-in's target now deregisters without a body, as the platform's targets do; the tests had always sent a start time, which hid the fault.

--- a/packages/core/src/mesh/target-gate.ts
+++ b/packages/core/src/mesh/target-gate.ts
@@ -40,8 +40,11 @@
 export interface TargetGate {
   /** Applies an announcement; duplicates and those of earlier incarnations are `stale`. */
   handleAnnouncement(announcement: TargetAnnouncement, now: number): GateVerdict;
-  /** Closes the gate permanently for an incarnation; without `bornAt`, for the open one of `id`. */
-  deregister(id: string, bornAt: number | undefined): GateVerdict;
+  /**
+   * Closes the gate permanently for an incarnation; without `bornAt`, for the last announced one of
+   * `id`, whether it is open or not.
+   */
+  deregister(id: string, bornAt: number | undefined, now: number): GateVerdict;
   /**
    * Closes the gate after the target has failed; its next announcement reopens it. Returns false
    * when `id` is not the open target.
@@ -53,8 +56,24 @@
   getClosedReason(): 'draining' | 'target-down';
 }
 
-/** Maximum number of closed incarnations stored; a host has only a few over its lifetime. */
-const MAX_CLOSED_INCARNATIONS = 64;
+/** Maximum number of incarnations stored; a host has only a few over its lifetime. */
+const MAX_INCARNATIONS = 64;
+/**
+ * How long announcements of an id are ignored after its deregistration if none of its incarnations is
+ * known. Announcements may be some seconds late, and a restart under the same id takes longer.
+ */
+const LATE_ANNOUNCEMENT_MS = 10_000;
+
+interface Incarnation {
+  id: string;
+  bornAt: number | undefined;
+}
+
+const formatKey = ({ id, bornAt }: Incarnation): string => `${id}|${bornAt ?? ''}`;
+
+function deleteOldestBeyondLimit(entries: Set<string> | Map<string, unknown>): void {
+  if (entries.size > MAX_INCARNATIONS) entries.delete(entries.keys().next().value as string);
+}
 
 /**
  * Creates a gate that is closed until the first announcement.
@@ -65,51 +84,66 @@
  */
 export function createTargetGate(): TargetGate {
   const closedKeys = new Set<string>();
+  /** The incarnation of each id with the latest start that has been announced. */
+  const lastIncarnations = new Map<string, Incarnation>();
+  /** Monotonic times until which announcements of deregistered ids are ignored. */
+  const ignoredUntil = new Map<string, number>();
   let target: OpenTarget | undefined;
   let reason: 'draining' | 'target-down' = 'target-down';
-  let lastAnnouncement: { key: string; id: string; bornAt: number; sequence: number } | undefined;
+  let lastAnnouncement: { key: string; bornAt: number; sequence: number } | undefined;
 
-  const formatKey = (id: string, bornAt: number | undefined): string => `${id}|${bornAt ?? ''}`;
-
-  const closeIncarnation = (key: string): GateVerdict => {
+  const closeIncarnation = (incarnation: Incarnation): GateVerdict => {
+    const key = formatKey(incarnation);
     closedKeys.add(key);
-    if (closedKeys.size > MAX_CLOSED_INCARNATIONS)
-      closedKeys.delete(closedKeys.values().next().value as string);
-    const wasOpen = target !== undefined && formatKey(target.id, target.bornAt) === key;
-    if (!wasOpen) return 'stale';
+    deleteOldestBeyondLimit(closedKeys);
+    if (!target) reason = 'draining';
+    if (!target || formatKey(target) !== key) return 'stale';
     target = undefined;
     reason = 'draining';
     return 'closed';
   };
 
+  const recordIncarnation = (incarnation: Incarnation): void => {
+    const last = lastIncarnations.get(incarnation.id);
+    if (last && (last.bornAt ?? 0) > (incarnation.bornAt ?? 0)) return;
+    lastIncarnations.set(incarnation.id, incarnation);
+    deleteOldestBeyondLimit(lastIncarnations);
+  };
+
   return {
     handleAnnouncement(announcement, now) {
-      const { id, sequence, service, slots } = announcement;
-      const bornAt = announcement.bornAt ?? 0;
-      const key = formatKey(id, announcement.bornAt);
+      const { id, bornAt, sequence, service, slots } = announcement;
+      const key = formatKey(announcement);
+      recordIncarnation({ id, bornAt });
       // A delayed announcement may belong to an earlier incarnation.
-      if (lastAnnouncement && lastAnnouncement.key !== key && bornAt < lastAnnouncement.bornAt)
+      if (
+        lastAnnouncement &&
+        lastAnnouncement.key !== key &&
+        (bornAt ?? 0) < lastAnnouncement.bornAt
+      )
         return 'stale';
       if (lastAnnouncement?.key === key && sequence <= lastAnnouncement.sequence) return 'stale';
-      lastAnnouncement = { key, id, bornAt, sequence };
-      if (announcement.state === 'draining') return closeIncarnation(key);
-      if (closedKeys.has(key)) return 'stale';
+      lastAnnouncement = { key, bornAt: bornAt ?? 0, sequence };
+      if (announcement.state === 'draining') return closeIncarnation(announcement);
+      if (closedKeys.has(key) || now < (ignoredUntil.get(id) ?? now)) return 'stale';
       const previousTarget = target;
-      target = {
-        id,
-        service,
-        slots,
-        bornAt: announcement.bornAt,
-        coldUntil: now + announcement.coldForMs,
-      };
-      return previousTarget?.id === id && previousTarget.bornAt === target.bornAt
-        ? 'kept'
-        : 'opened';
+      target = { id, service, slots, bornAt, coldUntil: now + announcement.coldForMs };
+      return previousTarget && formatKey(previousTarget) === key ? 'kept' : 'opened';
     },
-    deregister(id, bornAt) {
-      if (bornAt !== undefined) return closeIncarnation(formatKey(id, bornAt));
-      const openBornAt = target?.id === id ? target.bornAt : undefined;
-      return closeIncarnation(formatKey(id, openBornAt));
+    deregister(id, bornAt, now) {
+      const known = [lastIncarnations.get(id), target?.id === id ? target : undefined].filter(
+        (incarnation) => incarnation !== undefined,
+      );
+      const named = known.filter(
+        (incarnation) => bornAt === undefined || incarnation.bornAt === undefined,
+      );
+      if (bornAt !== undefined) named.push({ id, bornAt });
+      if (named.length === 0) {
+        ignoredUntil.set(id, now + LATE_ANNOUNCEMENT_MS);
+        deleteOldestBeyondLimit(ignoredUntil);
+      }
+      const verdicts = named.map(closeIncarnation);
+      return verdicts.includes('closed') ? 'closed' : 'stale';
     },
     markDown(id) {
       if (target?.id !== id) return false;
--- a/packages/core/test/mesh-target-gate.test.ts
+++ b/packages/core/test/mesh-target-gate.test.ts
@@ -41,7 +41,7 @@
         messages.forEach(({ isDeregistration, ...rest }, index) => {
           const key = `${rest.id}|${rest.bornAt}`;
           if (isDeregistration) {
-            gate.deregister(rest.id, rest.bornAt);
+            gate.deregister(rest.id, rest.bornAt, index);
             closedKeys.add(key);
           } else if (gate.handleAnnouncement(createAnnouncement(rest), index) === 'closed')
             closedKeys.add(key);
@@ -52,6 +52,35 @@
     );
   });
 
+  it('stays closed for a target that was deregistered, without start time, while marked down', () => {
+    const gate = mesh.createTargetGate();
+    gate.handleAnnouncement(createAnnouncement(), 0);
+    gate.markDown('i-1');
+    gate.deregister('i-1', undefined, 1);
+    assert.equal(gate.handleAnnouncement(createAnnouncement({ sequence: 2 }), 2), 'stale');
+    assert.equal(gate.getOpenTarget(), undefined);
+    assert.equal(gate.getClosedReason(), 'draining');
+  });
+
+  it('stays closed when the only announcement of a deregistered target comes late', () => {
+    const gate = mesh.createTargetGate();
+    gate.deregister('i-1', undefined, 0);
+    assert.equal(gate.handleAnnouncement(createAnnouncement(), 5_000), 'stale');
+    assert.equal(gate.getOpenTarget(), undefined);
+    const next = createAnnouncement({ bornAt: 20_000, sequence: 3 });
+    assert.equal(gate.handleAnnouncement(next, 20_000), 'opened', 'a restart under the same id');
+  });
+
+  it('closes for a deregistration with a start time that its announcements lack', () => {
+    const gate = mesh.createTargetGate();
+    gate.handleAnnouncement(createAnnouncement({ bornAt: undefined }), 0);
+    assert.equal(gate.deregister('i-1', 1_000, 1), 'closed');
+    assert.equal(
+      gate.handleAnnouncement(createAnnouncement({ bornAt: undefined, sequence: 2 }), 2),
+      'stale',
+    );
+  });
+
   it('ignores an announcement of an earlier incarnation', () => {
     const gate = mesh.createTargetGate();
     gate.handleAnnouncement(createAnnouncement({ id: 'i-2', bornAt: 2_000 }), 0);
--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -18,7 +18,7 @@
     deliveryMs: number,
   ): types.CancellableAttempt;
   applyAnnouncement(announcement: mesh.TargetAnnouncement): mesh.GateVerdict;
-  /** Closes the gate for one incarnation of the target; without `bornAt`, for the open one. */
+  /** Closes the gate for one incarnation of the target; without `bornAt`, for the last one of `id`. */
   deregister(id: string, bornAt: number | undefined): mesh.GateVerdict;
   getLoad(): mesh.SlotLoad & Pick<mesh.TargetLoad, 'failureShare'>;
   getOpenTarget(): mesh.OpenTarget | undefined;
@@ -368,7 +368,7 @@
       return applyVerdict(verdict, announcement, announcement.state);
     },
     deregister: (id, bornAt) =>
-      applyVerdict(gate.deregister(id, bornAt), { id, bornAt }, 'deregistered'),
+      applyVerdict(gate.deregister(id, bornAt, clock.monotonic()), { id, bornAt }, 'deregistered'),
     getLoad: () => ({ ...queue.getLoad(clock.monotonic()), failureShare }),
     getOpenTarget: () => gate.getOpenTarget(),
     isCold,
--- a/packages/stand-ins/src/mesh/mesh-target.ts
+++ b/packages/stand-ins/src/mesh/mesh-target.ts
@@ -53,6 +53,7 @@
   faultyResponses: number;
   /** Sends an announcement and returns the status of the response; 0 when there was none. */
   announce(state: 'ready' | 'draining'): Promise<number>;
+  /** Deregisters without a start time, as the platform's targets do. */
   deregister(): Promise<number>;
   startHeartbeats(): void;
   stopHeartbeats(): void;
@@ -122,7 +123,7 @@
     close: () => Promise.resolve(),
   };
 
-  const postAnnouncement = (path: string, body: object): Promise<number> =>
+  const postAnnouncement = (path: string, body?: object): Promise<number> =>
     new Promise((resolve) => {
       const request = http.request(
         {
@@ -140,7 +141,7 @@
       );
       request.on('timeout', () => request.destroy());
       request.on('error', () => resolve(0));
-      request.end(JSON.stringify(body));
+      request.end(body && JSON.stringify(body));
     });
 
   target.announce = (state) => {
@@ -152,7 +153,7 @@
       status: { state, sequence, coldRemainingMs: 0 },
     });
   };
-  target.deregister = () => postAnnouncement(`/api/Instances.Deregister/${id}`, { born: bornAt });
+  target.deregister = () => postAnnouncement(`/api/Instances.Deregister/${id}`);
   target.startHeartbeats = () => {
     target.announce('ready').catch(() => undefined);
     heartbeatTimer = setInterval(() => {
