Target gate: a drain also counts when a later announcement has overtaken it

A target whose drain was acknowledged could get requests as before, because the gate took the message for a stale one.

Heartbeats can arrive seconds late and out of order.

Change: draining is final for an incarnation, so it closes the gate whenever it arrives; only `ready` announcements are compared with the last one.

Evidence: the property of the gate, that no incarnation is open after its drain or deregistration was acknowledged, now also covers messages out of order, without start time and after the target was marked down. It failed before (counterexample: `ready`, then `draining` with the same number); 2,000 runs pass now.

--- a/packages/core/src/mesh/target-gate.ts
+++ b/packages/core/src/mesh/target-gate.ts
@@ -38,7 +38,10 @@
 
 /** Admits at most one incarnation of a target. */
 export interface TargetGate {
-  /** Applies an announcement; duplicates and those of earlier incarnations are `stale`. */
+  /**
+   * Applies an announcement; duplicates and those of earlier incarnations are `stale`. One that says
+   * `draining` closes the gate for its incarnation, also if it arrives out of order.
+   */
   handleAnnouncement(announcement: TargetAnnouncement, now: number): GateVerdict;
   /**
    * Closes the gate permanently for an incarnation; without `bornAt`, for the last announced one of
@@ -116,15 +119,16 @@
       const key = formatKey(announcement);
       recordIncarnation({ id, bornAt });
       // A delayed announcement may belong to an earlier incarnation.
-      if (
-        lastAnnouncement &&
+      const isEarlierIncarnation =
+        lastAnnouncement !== undefined &&
         lastAnnouncement.key !== key &&
-        (bornAt ?? 0) < lastAnnouncement.bornAt
-      )
-        return 'stale';
-      if (lastAnnouncement?.key === key && sequence <= lastAnnouncement.sequence) return 'stale';
-      lastAnnouncement = { key, bornAt: bornAt ?? 0, sequence };
+        (bornAt ?? 0) < lastAnnouncement.bornAt;
+      const isLate = lastAnnouncement?.key === key && sequence <= lastAnnouncement.sequence;
+      const isStale = isEarlierIncarnation || isLate;
+      if (!isStale) lastAnnouncement = { key, bornAt: bornAt ?? 0, sequence };
+      // Draining is final, so it also counts when a later announcement has overtaken it.
       if (announcement.state === 'draining') return closeIncarnation(announcement);
+      if (isStale) return 'stale';
       if (closedKeys.has(key) || now < (ignoredUntil.get(id) ?? now)) return 'stale';
       const previousTarget = target;
       target = { id, service, slots, bornAt, coldUntil: now + announcement.coldForMs };
--- a/packages/core/test/mesh-target-gate.test.ts
+++ b/packages/core/test/mesh-target-gate.test.ts
@@ -28,27 +28,45 @@
 
   it('never reopens for an incarnation whose drain or deregistration was acknowledged', () => {
     const message = fc.record({
+      type: fc.constantFrom('ready', 'draining', 'deregistration', 'down'),
       id: fc.constantFrom('i-1', 'i-2'),
       bornAt: fc.constantFrom(1_000, 2_000),
       sequence: fc.integer({ min: 1, max: 30 }),
-      state: fc.constantFrom('ready' as const, 'draining' as const),
-      isDeregistration: fc.boolean(),
+      hasBornAt: fc.boolean(),
     });
     fc.assert(
       fc.property(fc.array(message, { maxLength: 40 }), (messages) => {
         const gate = mesh.createTargetGate();
         const closedKeys = new Set<string>();
-        messages.forEach(({ isDeregistration, ...rest }, index) => {
-          const key = `${rest.id}|${rest.bornAt}`;
-          if (isDeregistration) {
-            gate.deregister(rest.id, rest.bornAt, index);
-            closedKeys.add(key);
-          } else if (gate.handleAnnouncement(createAnnouncement(rest), index) === 'closed')
-            closedKeys.add(key);
+        /** Highest start time announced for an id, which a deregistration without one refers to. */
+        const lastBornAt = new Map<string, number>();
+        const formatKey = (id: string, bornAt: number | undefined): string => `${id}|${bornAt}`;
+        const handlers: Record<string, (now: number, entry: (typeof messages)[number]) => void> = {
+          ready(now, { id, bornAt, sequence }) {
+            lastBornAt.set(id, Math.max(bornAt, lastBornAt.get(id) ?? 0));
+            gate.handleAnnouncement(createAnnouncement({ id, bornAt, sequence }), now);
+          },
+          draining(now, { id, bornAt, sequence }) {
+            lastBornAt.set(id, Math.max(bornAt, lastBornAt.get(id) ?? 0));
+            closedKeys.add(formatKey(id, bornAt));
+            gate.handleAnnouncement(
+              createAnnouncement({ id, bornAt, sequence, state: 'draining' }),
+              now,
+            );
+          },
+          deregistration(now, { id, bornAt, hasBornAt }) {
+            closedKeys.add(formatKey(id, hasBornAt ? bornAt : lastBornAt.get(id)));
+            gate.deregister(id, hasBornAt ? bornAt : undefined, now);
+          },
+          down: (_, { id }) => gate.markDown(id),
+        };
+        messages.forEach((entry, now) => {
+          handlers[entry.type]?.(now, entry);
           const open = gate.getOpenTarget();
-          if (open) assert.ok(!closedKeys.has(`${open.id}|${open.bornAt}`));
+          if (open) assert.ok(!closedKeys.has(formatKey(open.id, open.bornAt)));
         });
       }),
+      { numRuns: 2_000 },
     );
   });
 
@@ -71,6 +89,14 @@
     assert.equal(gate.handleAnnouncement(next, 20_000), 'opened', 'a restart under the same id');
   });
 
+  it('closes for a drain that arrives after a later announcement', () => {
+    const gate = mesh.createTargetGate();
+    gate.handleAnnouncement(createAnnouncement({ sequence: 5 }), 0);
+    const drain = createAnnouncement({ sequence: 4, state: 'draining' });
+    assert.equal(gate.handleAnnouncement(drain, 1), 'closed');
+    assert.equal(gate.handleAnnouncement(createAnnouncement({ sequence: 6 }), 2), 'stale');
+  });
+
   it('closes for a deregistration with a start time that its announcements lack', () => {
     const gate = mesh.createTargetGate();
     gate.handleAnnouncement(createAnnouncement({ bornAt: undefined }), 0);
