Slot queue: start calls at the rate that the target states in its responses

A target that named a limit got as many calls as before (203 in 4 s for 147 allowed in the record of others).

Cause: nothing read the header, and no part of the design limited the rate of a target; slots bound concurrency only.

Change: the adapter decodes the header; `createStatedRateLimit` tracks the limit of the incarnation in force, which ends when a later request is answered without one; the slot queue starts calls at that rate and counts the wait as queueing delay, so that a call that would miss its objective is refused at once and placed elsewhere. The load report tells the wait to the other hosts (`startDelayMs`, a new field at the end of the header; processes of older versions read and send the header without it). The process beside a target sees all its calls, so no agreement is needed.

--- a/packages/core/src/limits/token-bucket.ts
+++ b/packages/core/src/limits/token-bucket.ts
@@ -7,6 +7,8 @@
   setLimits(ratePerSecond: number, burst: number, now: number): void;
   /** Takes up to `count` whole tokens and returns how many it took. */
   takeUpTo(count: number, now: number): number;
+  /** Computes the time until `count` tokens have come in, beyond the capacity too, in milliseconds. */
+  computeDelayMs(count: number, now: number): number;
 }
 
 const MS_PER_SECOND = 1_000;
@@ -50,5 +52,9 @@
       tokens -= taken;
       return taken;
     },
+    computeDelayMs(count, at) {
+      refill(at);
+      return (Math.max(0, count - tokens) / rate) * MS_PER_SECOND;
+    },
   };
 }
--- a/packages/core/src/mesh/index.ts
+++ b/packages/core/src/mesh/index.ts
@@ -73,9 +73,11 @@
   type PollScheduleOptions,
   type PollStep,
 } from './source-poll-schedule.js';
+export { createStatedRateLimit, type StatedRateLimit } from './stated-rate-limit.js';
 export { createTrafficSplitter, type TrafficSplitter } from './traffic-splitter.js';
 export {
   createTargetGate,
+  formatIncarnation,
   type GateVerdict,
   type OpenTarget,
   type TargetAnnouncement,
--- a/packages/core/src/mesh/placement.ts
+++ b/packages/core/src/mesh/placement.ts
@@ -63,6 +63,7 @@
   late: 0,
   slots: 0,
   serviceMs: 0,
+  startDelayMs: 0,
   failureShare: 0,
   backlogMs: 0,
   kilobyteMs: 0,
@@ -95,7 +96,11 @@
   const callsAhead = lastLoad.running + lastLoad.waiting + (mayBeLate ? lastLoad.late : 0);
   const occupancy = Math.max(callsAhead * freshness, candidate.openCalls);
   const slots = Math.max(1, candidate.slots);
-  const waitMs = Math.max(0, (occupancy + 1 - slots) / slots) * serviceMs;
+  const waitMs = Math.max(
+    ((occupancy + 1 - slots) / slots) * serviceMs,
+    lastLoad.startDelayMs * freshness,
+    0,
+  );
   // Targets slow down as utilisation rises, so partial utilisation has a cost as well.
   const utilisationMs = (Math.min(1, occupancy / slots) ** 2 * serviceMs) / 2;
   const slowStartMs = candidate.isCold ? serviceMs * (options.slowStartFactor - 1) : 0;
@@ -120,6 +125,7 @@
 export function hasFreeSlot(candidate: PlacementCandidate, options: PlacementOptions): boolean {
   const { load, loadAgeMs, slots, openCalls } = candidate;
   if (!load || loadAgeMs > options.loadHalfLifeMs) return false;
+  if (load.startDelayMs > 0) return false;
   return Math.max(load.running + load.waiting + load.late, openCalls) < slots;
 }
 
--- a/packages/core/src/mesh/slot-queue.ts
+++ b/packages/core/src/mesh/slot-queue.ts
@@ -5,9 +5,11 @@
  * a start. A call that would be queued and is expected to miss its latency objective is refused at
  * once, so that it can be sent to another host. If no host can meet the objective, the call may be
  * offered again as a late call (`mayBeLate`), which is queued while its deadline can be met. Queued
- * calls that can no longer meet their objective start after all others.
+ * calls that can no longer meet their objective start after all others. A target that asks for fewer
+ * calls gets them at the rate that it names, which counts as a queueing delay.
  */
 import * as serviceTimeEstimates from './service-time-estimates.js';
+import * as startRates from './start-rate.js';
 import type * as types from './types.js';
 
 export interface SlotRequest {
@@ -48,7 +50,7 @@
 
 export type SlotLoad = Pick<
   types.TargetLoad,
-  'running' | 'waiting' | 'late' | 'slots' | 'serviceMs'
+  'running' | 'waiting' | 'late' | 'slots' | 'serviceMs' | 'startDelayMs'
 >;
 
 /** Concurrency limit and admission queue of one target. */
@@ -70,10 +72,15 @@
   cancel(id: string): boolean;
   /** Changes the concurrency limit and starts the queued calls that then fit. */
   setSlots(slots: number, now: number): SlotEffect[];
+  /** Limits the calls that start per second; undefined removes the limit. */
+  setRateLimit(perSecond: number | undefined, now: number): SlotEffect[];
   /** Empties the queue and returns the ids of the removed calls. */
   drain(): string[];
-  /** Refuses the queued calls that can no longer meet their deadline. */
-  refuseExpired(now: number): SlotEffect[];
+  /**
+   * Refuses the queued calls that can no longer meet their deadline, and starts those that the rate
+   * limit admits by now.
+   */
+  poll(now: number): SlotEffect[];
   hasWaiting(): boolean;
   /** Returns the current load; a queued call counts as late when it will miss its objective. */
   getLoad(now: number): SlotLoad;
@@ -94,6 +101,7 @@
 export function createSlotQueue(initialSlots: number, options: SlotQueueOptions): SlotQueue {
   let slots = initialSlots;
   const serviceTimes = serviceTimeEstimates.createServiceTimes(options.serviceTimes);
+  const startRate = startRates.createStartRate(startRates.startRateDefaults);
   const running = new Map<string, Pick<QueuedRequest, 'kind' | 'priorMs'>>();
   let waiting: QueuedRequest[] = [];
 
@@ -108,23 +116,26 @@
     left.rank - right.rank ||
     left.objectiveAt - right.objectiveAt;
 
-  const refuse = (id: string, reason: 'full' | 'too-late'): SlotEffect => ({
+  const refuse = (id: string, reason: 'full' | 'too-late', now: number): SlotEffect => ({
     type: 'refuse',
     id,
     reason,
-    retryAfterMs: (waiting.length + 1) * (serviceTimes.getMeanMs() / Math.max(1, slots)),
+    retryAfterMs: Math.max(
+      (waiting.length + 1) * (serviceTimes.getMeanMs() / Math.max(1, slots)),
+      startRate.computeDelayMs(waiting.length + 1, now),
+    ),
   });
 
   const refuseExpired = (now: number): SlotEffect[] => {
     const expired = waiting.filter((request) => isDeadlineMissed(request, now));
     if (expired.length === 0) return [];
     waiting = waiting.filter((request) => !expired.includes(request));
-    return expired.map(({ id }) => refuse(id, 'too-late'));
+    return expired.map(({ id }) => refuse(id, 'too-late', now));
   };
 
   const startNext = (now: number): SlotEffect[] => {
     const effects = refuseExpired(now);
-    while (running.size < slots && waiting.length > 0) {
+    while (running.size < slots && waiting.length > 0 && startRate.tryStart(now)) {
       const next = waiting.reduce((best, other) =>
         compareUrgency(other, best, now) < 0 ? other : best,
       );
@@ -150,10 +161,14 @@
       const callsAhead = waiting.filter((other) => compareUrgency(other, queued, now) <= 0).length;
       const roundsAhead = running.size < slots ? 0 : (callsAhead + 1) / Math.max(1, slots);
       const waitFactor = request.mayBeLate ? options.lateWaitFactor : 1;
-      const expectedStartAt = now + roundsAhead * serviceTimes.getMeanMs() * waitFactor;
-      if (isDeadlineMissed(queued, expectedStartAt)) return [refuse(request.id, 'too-late')];
-      if (!request.mayBeLate && roundsAhead > 0 && isObjectiveMissed(queued, expectedStartAt)) {
-        return [refuse(request.id, 'full')];
+      const waitMs = Math.max(
+        roundsAhead * serviceTimes.getMeanMs(),
+        startRate.computeDelayMs(callsAhead + 1, now),
+      );
+      const expectedStartAt = now + waitMs * waitFactor;
+      if (isDeadlineMissed(queued, expectedStartAt)) return [refuse(request.id, 'too-late', now)];
+      if (!request.mayBeLate && waitMs > 0 && isObjectiveMissed(queued, expectedStartAt)) {
+        return [refuse(request.id, 'full', now)];
       }
       waiting.push(queued);
       const effects = startNext(now);
@@ -162,7 +177,7 @@
           compareUrgency(other, currentLast, now) > 0 ? other : currentLast,
         );
         waiting = waiting.filter((other) => other !== leastUrgent);
-        effects.push(refuse(leastUrgent.id, 'full'));
+        effects.push(refuse(leastUrgent.id, 'full', now));
       }
       return effects;
     },
@@ -182,12 +197,16 @@
       slots = next;
       return startNext(now);
     },
+    setRateLimit(perSecond, now) {
+      startRate.setLimit(perSecond, now);
+      return startNext(now);
+    },
     drain() {
       const ids = waiting.map(({ id }) => id);
       waiting = [];
       return ids;
     },
-    refuseExpired,
+    poll: startNext,
     hasWaiting: () => waiting.length > 0,
     getLoad(now) {
       const late = waiting.filter((request) => isObjectiveMissed(request, now)).length;
@@ -197,6 +216,7 @@
         late,
         slots,
         serviceMs: serviceTimes.getMeanMs(),
+        startDelayMs: startRate.computeDelayMs(waiting.length + 1, now),
       };
     },
   };
--- a/packages/core/src/mesh/target-gate.ts
+++ b/packages/core/src/mesh/target-gate.ts
@@ -72,7 +72,15 @@
   bornAt: number | undefined;
 }
 
-const formatKey = ({ id, bornAt }: Incarnation): string => `${id}|${bornAt ?? ''}`;
+/**
+ * Formats the id and the start time of a target as one text.
+ *
+ * @example
+ * formatIncarnation({ id: 'i-1', bornAt: 1_000 }); // 'i-1|1000'
+ */
+export function formatIncarnation({ id, bornAt }: Incarnation): string {
+  return `${id}|${bornAt ?? ''}`;
+}
 
 function deleteOldestBeyondLimit(entries: Set<string> | Map<string, unknown>): void {
   if (entries.size > MAX_INCARNATIONS) entries.delete(entries.keys().next().value as string);
@@ -96,11 +104,11 @@
   let lastAnnouncement: { key: string; bornAt: number; sequence: number } | undefined;
 
   const closeIncarnation = (incarnation: Incarnation): GateVerdict => {
-    const key = formatKey(incarnation);
+    const key = formatIncarnation(incarnation);
     closedKeys.add(key);
     deleteOldestBeyondLimit(closedKeys);
     if (!target) reason = 'draining';
-    if (!target || formatKey(target) !== key) return 'stale';
+    if (!target || formatIncarnation(target) !== key) return 'stale';
     target = undefined;
     reason = 'draining';
     return 'closed';
@@ -116,7 +124,7 @@
   return {
     handleAnnouncement(announcement, now) {
       const { id, bornAt, sequence, service, slots } = announcement;
-      const key = formatKey(announcement);
+      const key = formatIncarnation(announcement);
       recordIncarnation({ id, bornAt });
       // A delayed announcement may belong to an earlier incarnation.
       const isEarlierIncarnation =
@@ -132,7 +140,7 @@
       if (closedKeys.has(key) || now < (ignoredUntil.get(id) ?? now)) return 'stale';
       const previousTarget = target;
       target = { id, service, slots, bornAt, coldUntil: now + announcement.coldForMs };
-      return previousTarget && formatKey(previousTarget) === key ? 'kept' : 'opened';
+      return previousTarget && formatIncarnation(previousTarget) === key ? 'kept' : 'opened';
     },
     deregister(id, bornAt, now) {
       const known = [lastIncarnations.get(id), target?.id === id ? target : undefined].filter(
--- a/packages/core/src/mesh/types.ts
+++ b/packages/core/src/mesh/types.ts
@@ -64,6 +64,8 @@
   slots: number;
   /** Exponential moving average of the service time of a call, in milliseconds. */
   serviceMs: number;
+  /** Time until the target's own rate limit admits one more call, in milliseconds; 0 without one. */
+  startDelayMs: number;
   /** Exponential moving average of the share of calls that failed at the target, 0 to 1. */
   failureShare: number;
   /** Time to transmit the large responses queued for the link of its host, in milliseconds. */
--- a/packages/core/test/mesh-placement.test.ts
+++ b/packages/core/test/mesh-placement.test.ts
@@ -31,6 +31,7 @@
   late: 0,
   slots: 10,
   serviceMs: 100,
+  startDelayMs: 0,
   failureShare: 0,
   backlogMs: 0,
   kilobyteMs: 0,
@@ -247,4 +248,20 @@
     assert.equal(isFree({ load: undefined }), false);
     assert.equal(isFree({ loadAgeMs: 10 * mesh.placementDefaults.loadHalfLifeMs }), false);
   });
+
+  it('prefers a target whose rate limit admits the call', () => {
+    const limited = createLoad({ serviceMs: 100, startDelayMs: 400 });
+    const candidates = [
+      createCandidate('limited', { load: limited }),
+      createCandidate('free', { load: createLoad({ serviceMs: 100, running: 5 }) }),
+    ];
+    const call = { responseKilobytes: 0, mayBeLate: false };
+    const choose = (tried: ReadonlySet<string>): string | undefined =>
+      mesh.choosePlacement(candidates, tried, call, mesh.placementDefaults, () => 0.5)?.hostId;
+    assert.equal(choose(new Set()), 'free');
+    assert.equal(choose(new Set(['free'])), 'limited');
+    const [limitedCandidate] = candidates;
+    assert.ok(limitedCandidate);
+    assert.equal(mesh.hasFreeSlot(limitedCandidate, mesh.placementDefaults), false);
+  });
 });
--- a/packages/core/test/mesh-slot-queue.test.ts
+++ b/packages/core/test/mesh-slot-queue.test.ts
@@ -77,7 +77,7 @@
           } else if (command.type === 'slots') {
             slots = command.slots;
             applyEffects(queue.setSlots(slots, now));
-          } else applyEffects(queue.refuseExpired(now));
+          } else applyEffects(queue.poll(now));
           const load = queue.getLoad(now);
           assert.equal(load.running, running.length);
           assert.equal(load.waiting + load.late, waiting.size);
@@ -126,8 +126,8 @@
       createRequest('waiting', { mayBeLate: true, objectiveAt: 200, deadlineAt: 300 }),
       0,
     );
-    assert.deepEqual(queue.refuseExpired(100), []);
-    const [effect] = queue.refuseExpired(299);
+    assert.deepEqual(queue.poll(100), []);
+    const [effect] = queue.poll(299);
     assert.equal(effect?.type === 'refuse' && effect.reason, 'too-late');
   });
 
@@ -179,4 +179,34 @@
     assert.equal(refused?.type, 'refuse');
     assert.deepEqual(queue.offer(createRequest('queued', { ...late, deadlineAt: 1_100 }), 0), []);
   });
+
+  it('starts calls at the rate that the target takes, and refuses those that would wait too long', () => {
+    const queue = mesh.createSlotQueue(6, mesh.slotQueueDefaults);
+    queue.setRateLimit(5, 0);
+    const startedAt: number[] = [];
+    const refused: number[] = [];
+    for (let now = 0; now < 8_000; now += 20) {
+      const id = `c${now}`;
+      const effects = queue.offer(
+        createRequest(id, { objectiveAt: now + 600, deadlineAt: now + 1_500 }),
+        now,
+      );
+      effects.concat(queue.poll(now)).forEach((effect) => {
+        if (effect.type === 'refuse') refused.push(effect.retryAfterMs);
+        else {
+          startedAt.push(now);
+          queue.release(effect.id, 20, now);
+        }
+      });
+    }
+    startedAt.forEach((start) => {
+      const inWindow = startedAt.filter((at) => at >= start && at < start + 4_000).length;
+      assert.ok(inWindow <= 23, `${inWindow} in 4 s`);
+    });
+    assert.ok(startedAt.length >= 38, `${startedAt.length} of 40 possible starts`);
+    assert.ok(refused.every((retryAfterMs) => retryAfterMs > 0 && retryAfterMs <= 1_500));
+    assert.ok(queue.getLoad(8_000).startDelayMs > 0);
+    queue.setRateLimit(undefined, 8_000);
+    assert.equal(queue.getLoad(8_000).startDelayMs, 0);
+  });
 });
--- a/packages/proxy/src/mesh/index.ts
+++ b/packages/proxy/src/mesh/index.ts
@@ -11,4 +11,5 @@
   PlatformAdapter,
   AnnouncementParser,
   TargetMessage,
+  TargetNotice,
 } from './types.js';
--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -41,7 +41,8 @@
   handler: types.AttemptHandler;
   /** Request to the target; undefined until it has been sent. */
   request: http.ClientRequest | undefined;
-  instanceId: string;
+  /** The target that it was sent to; undefined until then. */
+  target: mesh.OpenTarget | undefined;
   receivedAt: number;
   sentAt: number;
   isCancelled: boolean;
@@ -65,6 +66,7 @@
   const { clock, log, metrics, protocol } = ctx;
   const gate = mesh.createTargetGate();
   const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults);
+  const rateLimit = mesh.createStatedRateLimit();
   const agent = keepAliveAgent.createAgent(TARGET_IDLE_TIMEOUT_MS);
   const droppedHeaders = new Set([
     protocol.deadlineHeader,
@@ -108,10 +110,10 @@
       checkTimer ??= setTimeout(checkQueue, constants.QUEUE_CHECK_INTERVAL_MS);
   };
 
-  /** Refuses queued calls that can no longer be served in time; scheduled only while calls wait. */
+  /** Refuses or starts queued calls as time passes; scheduled only while calls wait. */
   const checkQueue = (): void => {
     checkTimer = undefined;
-    applyEffects(queue.refuseExpired(clock.monotonic()));
+    applyEffects(queue.poll(clock.monotonic()));
   };
 
   const releaseSlot = (key: string, serviceMs?: number): void => {
@@ -129,7 +131,7 @@
     openAttempts.delete(key);
     updateFailureShare(true);
     metrics.count('attempts_broken_total');
-    log.warn('attempt-broken', { call: entry.attempt.callId, cause, target: entry.instanceId });
+    log.warn('attempt-broken', { call: entry.attempt.callId, cause, target: entry.target?.id });
     entry.handler.onBroken(cause);
     releaseAbandonedSlot(key, entry);
   };
@@ -139,13 +141,43 @@
     releaseSlot(key);
   };
 
-  const markTargetDown = (instanceId: string, cause: string): void => {
-    if (!gate.markDown(instanceId)) return;
-    log.warn('target-down', { target: instanceId, cause });
+  const markTargetDown = (target: mesh.OpenTarget, cause: string): void => {
+    if (!gate.markDown(target.id)) return;
+    log.warn('target-down', { target: target.id, cause });
     queue.drain().forEach((key) => refuse(key, 'target-down'));
     onChange();
   };
 
+  const applyVerdict = (
+    verdict: mesh.GateVerdict,
+    message: { id: string; bornAt: number | undefined; sequence?: number },
+    cause: string,
+  ): mesh.GateVerdict => {
+    if (verdict === 'kept') return verdict;
+    const { id, bornAt, sequence } = message;
+    log.info('target-gate', { target: id, verdict, cause, bornAt, sequence });
+    if (verdict === 'closed') queue.drain().forEach((key) => refuse(key, 'draining'));
+    if (verdict !== 'stale') onChange();
+    return verdict;
+  };
+
+  const updateRateLimit = (
+    target: mesh.OpenTarget,
+    sentAt: number,
+    callsPerSecond: types.TargetNotice['callsPerSecond'],
+  ): void => {
+    if (callsPerSecond === 'unreadable') {
+      metrics.count('target_limits_unreadable_total');
+      log.debug('target-limit-refused', { target: target.id });
+      return;
+    }
+    const now = clock.monotonic();
+    const incarnation = mesh.formatIncarnation(target);
+    if (!rateLimit.recordResponse({ incarnation, sentAt, callsPerSecond }, now)) return;
+    log.info('target-limit', { target: target.id, callsPerSecond });
+    applyEffects(queue.setRateLimit(callsPerSecond, now));
+  };
+
   const handleResponse = (
     key: string,
     message: http.IncomingMessage,
@@ -153,10 +185,11 @@
   ): void => {
     const entry = openAttempts.get(key);
     const status = message.statusCode ?? 0;
-    if (!entry) {
+    if (!entry?.target) {
       message.destroy();
       return;
     }
+    const { target } = entry;
     const { headers } = message;
     const isMisdirected = status === constants.HTTP.misdirected;
     const isNotExecuted = headers[protocol.notExecutedHeader] !== undefined;
@@ -176,10 +209,12 @@
     }
     if (isMisdirected) {
       responseBytes.discardBody(message);
-      markTargetDown(entry.instanceId, 'another-instance');
+      markTargetDown(target, 'another-instance');
       refuseStarted(key, 'wrong-instance');
       return;
     }
+    const { callsPerSecond } = protocol.readTargetNotice(headers);
+    updateRateLimit(target, entry.sentAt, callsPerSecond);
     if (isNotExecuted) {
       responseBytes.discardBody(message);
       updateFailureShare(true);
@@ -216,7 +251,7 @@
     }
     const { attempt } = entry;
     let isConnected = false;
-    entry.instanceId = target.id;
+    entry.target = target;
     entry.sentAt = now;
     const hasBody = body.length > 0 || (attempt.method !== 'GET' && attempt.method !== 'HEAD');
     const request = http.request({
@@ -264,7 +299,7 @@
         failAttempt(key, error.message);
         return;
       }
-      markTargetDown(entry.instanceId, error.message);
+      markTargetDown(target, error.message);
       refuseStarted(key, 'target-down');
     });
     request.end(body);
@@ -317,19 +352,6 @@
     return false;
   };
 
-  const applyVerdict = (
-    verdict: mesh.GateVerdict,
-    message: { id: string; bornAt: number | undefined; sequence?: number },
-    cause: string,
-  ): mesh.GateVerdict => {
-    if (verdict === 'kept') return verdict;
-    const { id, bornAt, sequence } = message;
-    log.info('target-gate', { target: id, verdict, cause, bornAt, sequence });
-    if (verdict === 'closed') queue.drain().forEach((key) => refuse(key, 'draining'));
-    if (verdict !== 'stale') onChange();
-    return verdict;
-  };
-
   return {
     run(attempt, handler, deliveryMs) {
       lastKey += 1;
@@ -339,7 +361,7 @@
         attempt,
         handler,
         request: undefined,
-        instanceId: '',
+        target: undefined,
         receivedAt: now,
         sentAt: now,
         isCancelled: false,
@@ -362,7 +384,11 @@
       const verdict = gate.handleAnnouncement(announcement, now);
       wasAnnouncedCold = isCold();
       const target = gate.getOpenTarget();
-      if (target) applyEffects(queue.setSlots(target.slots, now));
+      if (target) {
+        rateLimit.setIncarnation(mesh.formatIncarnation(target));
+        applyEffects(queue.setRateLimit(rateLimit.get(), now));
+        applyEffects(queue.setSlots(target.slots, now));
+      }
       if (verdict === 'opened') failureShare = 0;
       if (verdict === 'kept' && wasCold && !isCold()) onChange();
       return applyVerdict(verdict, announcement, announcement.state);
--- a/packages/proxy/src/mesh/mesh-headers.ts
+++ b/packages/proxy/src/mesh/mesh-headers.ts
@@ -77,7 +77,10 @@
   }
 }
 
-/** Fields of the load header in wire order, with their number of decimal places. */
+/**
+ * Fields of the load header in wire order, with their number of decimal places; new ones are added at
+ * the end.
+ */
 const loadFields: readonly [keyof mesh.TargetLoad, number][] = [
   ['running', 0],
   ['waiting', 0],
@@ -87,7 +90,10 @@
   ['failureShare', 3],
   ['backlogMs', 0],
   ['kilobyteMs', 3],
+  ['startDelayMs', 0],
 ];
+/** Processes of older versions send only these; the others count as 0. */
+const REQUIRED_LOAD_FIELDS = 8;
 
 export function formatLoad(load: mesh.TargetLoad): string[] {
   return [LOAD_HEADER, loadFields.map(([name, digits]) => load[name].toFixed(digits)).join(';')];
@@ -98,9 +104,9 @@
   const header = headers[LOAD_HEADER];
   if (typeof header !== 'string') return undefined;
   const values = header.split(';').map(Number);
-  if (values.length < loadFields.length || !values.every(Number.isFinite)) return undefined;
+  if (values.length < REQUIRED_LOAD_FIELDS || !values.every(Number.isFinite)) return undefined;
   return Object.fromEntries(
-    loadFields.map(([name], index) => [name, values[index]]),
+    loadFields.map(([name], index) => [name, values[index] ?? 0]),
   ) as unknown as mesh.TargetLoad;
 }
 
--- a/packages/proxy/src/mesh/types.ts
+++ b/packages/proxy/src/mesh/types.ts
@@ -54,6 +54,12 @@
   parse(method: string, path: string, body: string): TargetMessage;
 }
 
+/** What a target says of itself in the head of a response. */
+export interface TargetNotice {
+  /** Calls per second that it takes from all hosts; undefined while it states no limit. */
+  callsPerSecond: number | 'unreadable' | undefined;
+}
+
 /** Lower-case names of the headers that callers and targets use, and the readiness path. */
 export interface CallProtocol {
   /** Carries the ID of one attempt of a caller; targets echo it in the response. */
@@ -69,6 +75,7 @@
   /** Carries the service of the host where the call began. */
   callerServiceHeader: string;
   readyPath: string;
+  readTargetNotice(headers: NodeJS.Dict<string | string[]>): TargetNotice;
 }
 
 export interface PlatformAdapter {
--- a/packages/stand-ins/src/mesh/mesh-target.ts
+++ b/packages/stand-ins/src/mesh/mesh-target.ts
@@ -45,6 +45,8 @@
   faults: TargetFaults;
   /** Takes over all calls that arrive while it is set. */
   rawResponder: rawResponses.RawResponder | undefined;
+  /** Headers of all its responses, in which it states a rate limit or that it is leaving. */
+  noticeHeaders: Record<string, string>;
   serviceMs: number;
   runs: CallRun[];
   /** Number of requests received, rejected ones included. */
@@ -112,6 +114,7 @@
       errorResponseShare: 0,
     },
     rawResponder: undefined,
+    noticeHeaders: {},
     serviceMs: DEFAULT_SERVICE_MS,
     runs: [],
     receivedRequests: 0,
@@ -172,6 +175,7 @@
       'figshed-request-id': run.callId,
       'figshed-response-signature': `${id}.${run.callId}`,
       'content-length': Buffer.byteLength(body),
+      ...target.noticeHeaders,
     };
     if (random() < faults.lostResponseShare) {
       target.faultyResponses += 1;
@@ -217,7 +221,11 @@
   ): Promise<void> => {
     target.receivedRequests += 1;
     const callId = String(request.headers['figshed-request-id']);
-    const refusalHeaders = { 'figshed-request-id': callId, 'figshed-not-executed': '1' };
+    const refusalHeaders = {
+      'figshed-request-id': callId,
+      'figshed-not-executed': '1',
+      ...target.noticeHeaders,
+    };
     const expected = request.headers['figshed-expect-instance'];
     if (expected !== undefined && expected !== id) {
       request.resume();
