Targets: stop calling one that states in its responses that it is leaving

A target that says so in its responses, but still announces itself as ready, got calls until its drain was acknowledged, and again after a restart of the process beside it.

Cause: nothing read the header. The gate beside the target is not enough either: a new process has an open gate if a late heartbeat reaches it first, and the host at which a call begins is bound as well.

Change: such a response closes the gate for that incarnation, like a deregistration. The process beside the target names the incarnation to the host at which the call began, which sends it no further call, whatever its gossip record says. Gossip records now identify a target by id and start time, so a restart under the same id is not affected.

--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -162,6 +162,8 @@
       attemptNumber: number,
       hostId: string,
     ): void => {
+      if (upstream.leavingTarget !== undefined)
+        targets.recordLeaving(hostId, upstream.leavingTarget);
       callAttempts.bufferResponse(upstream, byteBudget, {
         onTooLarge(chunks) {
           streamedAttempt = attemptNumber;
--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -161,6 +161,11 @@
     return verdict;
   };
 
+  const closeLeavingTarget = (target: mesh.OpenTarget): void => {
+    const verdict = gate.deregister(target.id, target.bornAt, clock.monotonic());
+    if (verdict === 'closed') applyVerdict(verdict, target, 'leaving');
+  };
+
   const updateRateLimit = (
     target: mesh.OpenTarget,
     sentAt: number,
@@ -213,7 +218,8 @@
       refuseStarted(key, 'wrong-instance');
       return;
     }
-    const { callsPerSecond } = protocol.readTargetNotice(headers);
+    const { callsPerSecond, isLeaving } = protocol.readTargetNotice(headers);
+    if (isLeaving) closeLeavingTarget(target);
     updateRateLimit(target, entry.sentAt, callsPerSecond);
     if (isNotExecuted) {
       responseBytes.discardBody(message);
@@ -233,6 +239,7 @@
       status,
       headers: meshHeaders.copyHeaders(message.rawHeaders, new Set()),
       message,
+      leavingTarget: isLeaving ? mesh.formatIncarnation(target) : undefined,
       isComplete,
     });
   };
--- a/packages/proxy/src/mesh/mesh-headers.ts
+++ b/packages/proxy/src/mesh/mesh-headers.ts
@@ -7,6 +7,7 @@
 const LOAD_HEADER = `${PROXY_HEADER_PREFIX}load`;
 const REFUSED_HEADER = `${PROXY_HEADER_PREFIX}refused`;
 const BROKEN_HEADER = `${PROXY_HEADER_PREFIX}broken`;
+const LEAVING_HEADER = `${PROXY_HEADER_PREFIX}leaving`;
 
 /** Hop-by-hop headers and content-length: each hop frames the body anew. */
 const framingHeaders = new Set([...forwardingHeaders.hopByHopHeaders, 'content-length']);
@@ -134,3 +135,14 @@
   const header = headers[BROKEN_HEADER];
   return typeof header === 'string' ? header : undefined;
 }
+
+/** Formats the incarnation of a leaving target as a header; none if it is undefined. */
+export function formatLeavingTarget(leavingTarget: string | undefined): string[] {
+  return leavingTarget === undefined ? [] : [LEAVING_HEADER, leavingTarget];
+}
+
+/** Returns undefined if the header is missing. */
+export function parseLeavingTarget(headers: NodeJS.Dict<string | string[]>): string | undefined {
+  const header = headers[LEAVING_HEADER];
+  return typeof header === 'string' ? header : undefined;
+}
--- a/packages/proxy/src/mesh/peer-client.ts
+++ b/packages/proxy/src/mesh/peer-client.ts
@@ -197,6 +197,7 @@
         status: message.statusCode ?? 0,
         headers: meshHeaders.copyHeaders(message.rawHeaders, new Set()),
         message,
+        leavingTarget: meshHeaders.parseLeavingTarget(message.headers),
         isComplete: upstreamResponse.trackCompletion(request, message),
       });
     });
--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -76,7 +76,7 @@
     receivedChunks: readonly Buffer[] = [],
   ): void =>
     upstreamResponse.streamResponse(upstream, response, {
-      headers: formatLoad(),
+      headers: [...formatLoad(), ...meshHeaders.formatLeavingTarget(upstream.leavingTarget)],
       receivedChunks,
       onTruncated: () => undefined,
     });
@@ -95,6 +95,7 @@
       response.writeHead(buffered.status, [
         ...buffered.headers,
         ...formatLoad(),
+        ...meshHeaders.formatLeavingTarget(upstream.leavingTarget),
         'Content-Length',
         length,
       ]);
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -105,7 +105,7 @@
     const current = target.getOpenTarget();
     if (!current) return null;
     return {
-      id: current.id,
+      id: mesh.formatIncarnation(current),
       service: current.service,
       slots: current.slots,
       state: 'up',
--- a/packages/proxy/src/mesh/target-table.ts
+++ b/packages/proxy/src/mesh/target-table.ts
@@ -24,6 +24,11 @@
   recordUnreachable(hostId: string, openedAt: number): void;
   /** Closes the circuit breaker of the host. */
   recordResponse(hostId: string): void;
+  /**
+   * Excludes one incarnation of the target of a host from further calls, also if the host's process
+   * restarts and announces it as available again.
+   */
+  recordLeaving(hostId: string, leavingTarget: string): void;
   getEndpoint(hostId: string): core.Endpoint | undefined;
 }
 
@@ -34,6 +39,7 @@
   loadReceivedAt: number;
   lastResponseAt: number;
   circuitBreaker: core.CircuitBreaker;
+  leavingTarget: string | undefined;
 }
 
 /** One failure opens the circuit breaker, since a live host acknowledges within the time-out. */
@@ -50,7 +56,7 @@
  * const targets = createTargetTable(ctx);
  */
 export function createTargetTable(ctx: context.MeshContext): TargetTable {
-  const { settings, clock, random } = ctx;
+  const { settings, clock, random, log } = ctx;
   const entries = new Map<string, TargetEntry>();
 
   const computeLocality = ({ id, info }: core.Member): mesh.Locality => {
@@ -59,11 +65,12 @@
     return info.region === settings.region ? 'region' : 'remote';
   };
 
-  const isCallable = ({ member }: TargetEntry, service: string): boolean =>
+  const isCallable = ({ member, leavingTarget }: TargetEntry, service: string): boolean =>
     (member.status === 'alive' || member.status === 'suspect') &&
     member.info.ready &&
     member.info.target?.state === 'up' &&
-    member.info.target.service === service;
+    member.info.target.service === service &&
+    (leavingTarget === undefined || member.info.target.id !== leavingTarget);
 
   const listCallable = (service: string): TargetEntry[] =>
     [...entries.values()].filter((entry) => isCallable(entry, service));
@@ -93,6 +100,7 @@
         circuitBreaker: isSameProcess
           ? existing.circuitBreaker
           : core.createCircuitBreaker(circuitBreakerOptions),
+        leavingTarget: existing?.leavingTarget,
       });
     },
     chooseTarget(service, triedHosts, call) {
@@ -147,6 +155,12 @@
       entry.lastResponseAt = clock.monotonic();
       entry.circuitBreaker.recordSuccess();
     },
+    recordLeaving(hostId, leavingTarget) {
+      const entry = entries.get(hostId);
+      if (!entry || entry.leavingTarget === leavingTarget) return;
+      entry.leavingTarget = leavingTarget;
+      log.info('target-leaving', { host: hostId, target: leavingTarget });
+    },
     getEndpoint(hostId) {
       const info = entries.get(hostId)?.member.info;
       return info ? { address: info.address, port: info.peerPort } : undefined;
--- a/packages/proxy/src/mesh/types.ts
+++ b/packages/proxy/src/mesh/types.ts
@@ -58,6 +58,8 @@
 export interface TargetNotice {
   /** Calls per second that it takes from all hosts; undefined while it states no limit. */
   callsPerSecond: number | 'unreadable' | undefined;
+  /** True once it is about to leave; it must not be sent further calls. */
+  isLeaving: boolean;
 }
 
 /** Lower-case names of the headers that callers and targets use, and the readiness path. */
--- a/packages/proxy/src/mesh/upstream-response.ts
+++ b/packages/proxy/src/mesh/upstream-response.ts
@@ -6,6 +6,8 @@
   /** Alternating names and values, without hop-by-hop headers. */
   headers: string[];
   message: http.IncomingMessage;
+  /** The incarnation of the target, if it states in this response that it is leaving. */
+  leavingTarget: string | undefined;
   /** True once the whole body has been received; valid from its `end` or `close` event on. */
   isComplete(): boolean;
 }
--- a/packages/proxy/test/mesh-configuration-transfer.test.ts
+++ b/packages/proxy/test/mesh-configuration-transfer.test.ts
@@ -89,7 +89,7 @@
     notExecutedHeader: 'x-not-executed',
     callerServiceHeader: 'x-caller-service',
     readyPath: '/ready',
-    readTargetNotice: () => ({ callsPerSecond: undefined }),
+    readTargetNotice: () => ({ callsPerSecond: undefined, isLeaving: false }),
   };
   const ctx: meshProxy.MeshContext = {
     settings: meshProxy.meshSettingsSchema.parse({
