--- a/packages/stand-ins/src/mesh/mesh-target.ts
+++ b/packages/stand-ins/src/mesh/mesh-target.ts
@@ -45,6 +45,8 @@
   faults: TargetFaults;
   /** Takes over all calls that arrive while it is set. */
   rawResponder: rawResponses.RawResponder | undefined;
+  /** Headers of all its responses, in which it states a rate limit or that it is leaving. */
+  noticeHeaders: Record<string, string>;
   serviceMs: number;
   runs: CallRun[];
   /** Number of requests received, rejected ones included. */
@@ -53,6 +55,7 @@
   faultyResponses: number;
   /** Sends an announcement and returns the status of the response; 0 when there was none. */
   announce(state: 'ready' | 'draining'): Promise<number>;
+  /** Deregisters without a start time, as the platform's targets do. */
   deregister(): Promise<number>;
   startHeartbeats(): void;
   stopHeartbeats(): void;
@@ -111,6 +114,7 @@
       errorResponseShare: 0,
     },
     rawResponder: undefined,
+    noticeHeaders: {},
     serviceMs: DEFAULT_SERVICE_MS,
     runs: [],
     receivedRequests: 0,
@@ -122,7 +126,7 @@
     close: () => Promise.resolve(),
   };
 
-  const postAnnouncement = (path: string, body: object): Promise<number> =>
+  const postAnnouncement = (path: string, body?: object): Promise<number> =>
     new Promise((resolve) => {
       const request = http.request(
         {
@@ -140,7 +144,7 @@
       );
       request.on('timeout', () => request.destroy());
       request.on('error', () => resolve(0));
-      request.end(JSON.stringify(body));
+      request.end(body && JSON.stringify(body));
     });
 
   target.announce = (state) => {
@@ -152,7 +156,7 @@
       status: { state, sequence, coldRemainingMs: 0 },
     });
   };
-  target.deregister = () => postAnnouncement(`/api/Instances.Deregister/${id}`, { born: bornAt });
+  target.deregister = () => postAnnouncement(`/api/Instances.Deregister/${id}`);
   target.startHeartbeats = () => {
     target.announce('ready').catch(() => undefined);
     heartbeatTimer = setInterval(() => {
@@ -171,6 +175,7 @@
       'figshed-request-id': run.callId,
       'figshed-response-signature': `${id}.${run.callId}`,
       'content-length': Buffer.byteLength(body),
+      ...target.noticeHeaders,
     };
     if (random() < faults.lostResponseShare) {
       target.faultyResponses += 1;
@@ -216,7 +221,11 @@
   ): Promise<void> => {
     target.receivedRequests += 1;
     const callId = String(request.headers['figshed-request-id']);
-    const refusalHeaders = { 'figshed-request-id': callId, 'figshed-not-executed': '1' };
+    const refusalHeaders = {
+      'figshed-request-id': callId,
+      'figshed-not-executed': '1',
+      ...target.noticeHeaders,
+    };
     const expected = request.headers['figshed-expect-instance'];
     if (expected !== undefined && expected !== id) {
       request.resume();
