Tests: a target that stops anywhere within its response

Other operators report a 200 with a short body after a target had stopped within the head of its response.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -17,6 +17,8 @@
   createTextResponder,
   type EndlessOptions,
   type RefusalOptions,
+  createCutResponder,
+  type CutKind,
 } from './mesh/raw-responses.js';
 export { encodeKeyedRecord, appendConfig } from './store/keyed-record.js';
 export { startStoreServer, type StoreFaults, type StoreServer } from './store/store-server.js';
--- a/packages/stand-ins/src/mesh/raw-responses.ts
+++ b/packages/stand-ins/src/mesh/raw-responses.ts
@@ -1,5 +1,6 @@
 /** Responders that write raw bytes to a target's connections, which an HTTP server cannot send. */
 import type * as net from 'node:net';
+import * as resetSocket from '../reset-socket.js';
 
 /** A request whose connection a responder has taken over. */
 export interface RawExchange {
@@ -103,3 +104,41 @@
     socket.write(text.replace('{headers}', headers));
   };
 }
+
+/** How a target ends a connection within a response. */
+export type CutKind = 'end' | 'reset';
+
+export interface CutOptions {
+  /** The whole response, in which the call's headers are inserted for `{headers}`. */
+  text: string;
+  cut: CutKind;
+  /** Returns how many bytes of the whole response the call gets. */
+  getLength(callId: string, whole: string): number;
+}
+
+/** Time for the bytes to be read before the connection is reset. */
+const RESET_DELAY_MS = 5;
+
+/**
+ * Creates a responder that runs each call, writes the first bytes of a response and ends the
+ * connection.
+ *
+ * @example
+ * target.rawResponder = createCutResponder({ text, cut: 'end', getLength: () => 20 });
+ */
+export function createCutResponder(options: CutOptions): RawResponder {
+  return ({ socket, callId, signature, recordRun }) => {
+    recordRun();
+    const headers = `figshed-request-id: ${callId}\r\nfigshed-response-signature: ${signature}\r\n`;
+    const whole = options.text.replace('{headers}', headers);
+    const part = whole.slice(0, options.getLength(callId, whole));
+    socket.on('error', () => undefined);
+    if (options.cut === 'end') {
+      socket.end(part);
+      return;
+    }
+    socket.write(part, () => {
+      setTimeout(() => resetSocket.resetSocket(socket), RESET_DELAY_MS);
+    });
+  };
+}
