Planned stop: reject calls that come late, and respond to those that remain

In a planned stop, a call whose request was complete only after the process had stopped accepting was passed on and cut at the end of the grace period without a response; so was each call that was still running or waiting then.

Cause: closing the server ends idle connections, but one with half a head or body is not idle, and its call was accepted whenever it was complete. Nothing told the open calls that the process was about to exit.

Change: after the close, a call is rejected as not run, on a connection that then closes. Calls accepted during the stop have the end of the grace period as their latest deadline, so that a queue which cannot serve them in time refuses them at once. Calls that remain at the end are ended as at their deadline: 503 if it is certain that they have not run, otherwise 504.

--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -47,6 +47,8 @@
 export interface CallRunner {
   /** Starts a call; the returned function must be called if the caller disconnects. */
   run(call: Call, responder: CallResponder): () => void;
+  /** Ends the open calls as if their deadline had passed; those being streamed continue. */
+  expireOpenCalls(): void;
 }
 
 export interface CallRunnerInput {
@@ -89,6 +91,8 @@
   const logger = callLog.createCallLog(ctx);
   const hedgeDelayEstimator = mesh.createHedgeDelayEstimator(mesh.hedgeDelayDefaults);
   const responseSizes = mesh.createResponseSizes();
+  /** Functions that end the open calls. */
+  const openCalls = new Set<() => void>();
 
   const getRetryBudget = (service: string): core.RetryBudget => {
     const existing = retryBudgets.get(service);
@@ -136,6 +140,8 @@
     let hedgeTimer: NodeJS.Timeout | undefined;
 
     const recordEnd = (outcome: string, status: number): void => {
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the two refer to one another
+      openCalls.delete(expireCall);
       clearTimeout(deadlineTimer);
       clearTimeout(hedgeTimer);
       const tookMs = clock.monotonic() - call.receivedAt;
@@ -329,6 +335,7 @@
       handleEvent({ type: 'timeout', isUnsent: isNotRun });
     };
 
+    openCalls.add(expireCall);
     deadlineTimer = setTimeout(
       expireCall,
       Math.max(0, effectiveDeadlineAt - RESPONSE_MARGIN_MS - clock.monotonic()),
@@ -343,5 +350,8 @@
     return handleDisconnect;
   };
 
-  return { run };
+  return {
+    run,
+    expireOpenCalls: () => [...openCalls].forEach((expireCall) => expireCall()),
+  };
 }
--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -14,11 +14,12 @@
   start(): Promise<void>;
   setLimits(limits: mesh.CallerLimits): void;
   /**
-   * From now on, each connection closes with the next response that leaves no call pending on it; new
-   * calls are still accepted.
+   * From now on, each connection closes with the next response that leaves no call pending on it. New
+   * calls are still accepted, with `respondBefore`, a monotonic time in milliseconds, as the latest
+   * deadline.
    */
-  drain(): void;
-  /** Stops accepting connections and closes idle ones. */
+  drain(respondBefore: number): void;
+  /** Stops accepting connections, closes idle ones and rejects the calls of all others. */
   close(): void;
   countOpenCalls(): number;
   /** Closes all connections at once. */
@@ -68,6 +69,7 @@
   ]);
   let isDraining = false;
   let isClosed = false;
+  let respondBefore = Number.POSITIVE_INFINITY;
   let maxBodyBytes = constants.MAX_BUFFERED_BYTES;
   let openCalls = 0;
 
@@ -220,9 +222,26 @@
       sendEmptyResponse(response, connection, status);
       return;
     }
+    const rejectAfterClose = (): void => {
+      log.info('call-refused', {
+        call: callId,
+        status: constants.HTTP.unavailable,
+        cause: 'stopping',
+      });
+      sendEmptyResponse(response, connection, constants.HTTP.unavailable);
+    };
+    if (isClosed) {
+      request.resume();
+      rejectAfterClose();
+      return;
+    }
     bodyReader
       .readBody(request, byteBudget, maxBodyBytes)
       .then((body) => {
+        if (isClosed) {
+          rejectAfterClose();
+          return;
+        }
         handleDisconnect = runner.run(
           {
             callId,
@@ -238,7 +257,7 @@
             body,
             isNested: isNested(callId),
             receivedAt,
-            deadlineAt: receivedAt + readDeadlineMs(request),
+            deadlineAt: Math.min(receivedAt + readDeadlineMs(request), respondBefore),
           },
           createResponder(callId, response, connection),
         );
@@ -285,8 +304,9 @@
       server.headersTimeout = limits.headerTimeoutMs;
       server.keepAliveTimeout = limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS;
     },
-    drain() {
+    drain(latestResponseAt) {
       isDraining = true;
+      respondBefore = latestResponseAt;
     },
     close() {
       isClosed = true;
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -29,8 +29,10 @@
  * Callers poll readiness every second and detect within two polls that the process is not ready.
  */
 const SERVE_AFTER_STOP_MS = 3_100;
-/** Part of `graceMs` reserved for the exit itself. */
+/** Part of `graceMs` reserved for the last responses and the exit itself. */
 const EXIT_MARGIN_MS = 400;
+/** Time to write the responses of calls that are ended by the stop; half of the exit margin. */
+const LAST_RESPONSES_MS = 200;
 const STOP_POLL_MS = 20;
 
 /**
@@ -188,7 +190,7 @@
         openCalls: callers.countOpenCalls(),
         attempts: target.countOpenAttempts(),
       });
-      callers.drain();
+      callers.drain(deadlineAt);
       members.setInfo({ ready: false });
       adapter.hostRegistry
         .deregister()
@@ -197,6 +199,8 @@
       isRefusingPeers = true;
       callers.close();
       await waitUntilIdle(deadlineAt);
+      runner.expireOpenCalls();
+      await waitUntilIdle(deadlineAt + LAST_RESPONSES_MS);
       members.leave();
       configuration.stop();
       log.info('stopped', {
