Mesh soak: targets that deregister without a drain, and targets that state a limit

Two faults and a check: a target deregisters and one of its heartbeats arrives after it, and a target states a rate limit for 8 s while restarts, stops and cuts go on; no more runs than the platform's bound may reach it in any 4 s.

--- a/packages/stand-ins/src/mesh-soak/checks.ts
+++ b/packages/stand-ins/src/mesh-soak/checks.ts
@@ -17,12 +17,20 @@
   detail: string;
 }
 
-/** A target whose `draining` announcement was acknowledged. */
+/** A target whose draining or deregistration was acknowledged. */
 export interface DrainedTarget {
   target: meshTarget.MeshTarget;
   acknowledgedAt: number;
 }
 
+/** A target that stated a rate limit in its responses from one time to another. */
+export interface LimitedTarget {
+  target: meshTarget.MeshTarget;
+  callsPerSecond: number;
+  statedAt: number;
+  endedAt: number;
+}
+
 /** A configuration version that a process served at the time of a probe. */
 export interface ObservedVersion {
   host: string;
@@ -37,6 +45,12 @@
 const HTTP_TOO_MANY_REQUESTS = 429;
 /** The platform's limit on sending requests to a target after its draining was acknowledged. */
 const DRAIN_LIMIT_MS = 2_000;
+/** The platform's bounds on the calls of a target that states a limit: from when, and how many. */
+const RATE_LIMIT_DELAY_MS = 3_000;
+const RATE_LIMIT_WINDOW_MS = 4_000;
+const RATE_LIMIT_FACTOR = 1.5;
+const RATE_LIMIT_EXTRA_CALLS = 5;
+const MS_PER_SECOND = 1_000;
 const notRunStatuses = new Set([HTTP_UNAVAILABLE, HTTP_TOO_MANY_REQUESTS]);
 
 function countRuns(runs: readonly meshTarget.CallRun[]): Map<string, number> {
@@ -76,16 +90,35 @@
     }));
 }
 
+function checkRateLimit({ target, callsPerSecond, statedAt, endedAt }: LimitedTarget): Violation[] {
+  const windowCalls = (callsPerSecond * RATE_LIMIT_WINDOW_MS) / MS_PER_SECOND;
+  const allowed = windowCalls * RATE_LIMIT_FACTOR + RATE_LIMIT_EXTRA_CALLS;
+  const runs = target.runs.filter(
+    ({ startedAt }) => startedAt >= statedAt + RATE_LIMIT_DELAY_MS && startedAt <= endedAt,
+  );
+  return runs.flatMap(({ callId, startedAt }) => {
+    const count = runs.filter(
+      (run) => run.startedAt >= startedAt && run.startedAt < startedAt + RATE_LIMIT_WINDOW_MS,
+    ).length;
+    if (count <= allowed) return [];
+    const detail = `${target.id} got ${count} calls in 4 s, ${allowed} are allowed`;
+    return [{ invariant: 'rate-limit', callId, detail }];
+  });
+}
+
 /**
  * Checks the outcome of every call against the executions that targets recorded.
  *
  * @example
- * checkCalls(calls, runs, drainedTargets).length; // 0
+ * checkCalls(calls, runs, { drainedTargets, limitedTargets }).length; // 0
  */
 export function checkCalls(
   calls: readonly SentCall[],
   runs: readonly meshTarget.CallRun[],
-  drainedTargets: readonly DrainedTarget[],
+  {
+    drainedTargets,
+    limitedTargets,
+  }: { drainedTargets: readonly DrainedTarget[]; limitedTargets: readonly LimitedTarget[] },
 ): Violation[] {
   const runCounts = countRuns(runs);
   const sentIds = new Set(calls.map(({ callId }) => callId));
@@ -95,6 +128,7 @@
   return [
     ...calls.flatMap((call) => [...checkResponse(call), ...checkOrder(call, runCounts)]),
     ...drainedTargets.flatMap(checkDrain),
+    ...limitedTargets.flatMap(checkRateLimit),
     ...unsolicitedRuns,
   ];
 }
--- a/packages/stand-ins/src/mesh-soak/faults.ts
+++ b/packages/stand-ins/src/mesh-soak/faults.ts
@@ -11,6 +11,7 @@
   links: ReadonlyMap<string, faultLink.FaultLink>;
   random: () => number;
   drainedTargets: checks.DrainedTarget[];
+  limitedTargets: checks.LimitedTarget[];
   /** Targets that were replaced; the checks include their executions. */
   closedTargets: meshTarget.MeshTarget[];
   /** Starts a new target on a host. */
@@ -23,9 +24,13 @@
 /** Injects one fault, ends it, and returns whether it took effect. */
 export type FaultInjector = (context: SoakContext, durationMs: number) => Promise<boolean>;
 
+const HTTP_OK = 200;
 const RESTART_DELAY_MS = 100;
 /** The platform's limit on sending requests to a draining target. */
 const DRAIN_LIMIT_MS = 2_000;
+/** Below a target's share of the load, and longer than the limit takes to be in force. */
+const LIMITED_CALLS_PER_SECOND = 5;
+const LIMIT_DURATION_MS = 8_000;
 const PUBLISH_INTERVAL_MS = 60;
 const STORE_DELAY_MS = 300;
 const LINK_DELAY_MS = 80;
@@ -100,6 +105,26 @@
   return link ? overrideTemporarily(link.faults, durationMs, change) : false;
 }
 
+/** Lets a target leave and replaces it; `announceLeaving` returns the status of its message. */
+function removeTarget(
+  context: SoakContext,
+  announceLeaving: (target: meshTarget.MeshTarget) => Promise<number>,
+): Promise<boolean> {
+  const host = pickHost(context);
+  return runExclusively(host, async () => {
+    const { target } = host;
+    target.stopHeartbeats();
+    const isAcknowledged = (await announceLeaving(target)) === HTTP_OK;
+    if (isAcknowledged) context.drainedTargets.push({ target, acknowledgedAt: Date.now() });
+    await timers.setTimeout(DRAIN_LIMIT_MS * 1.5);
+    await target.deregister();
+    await target.close();
+    context.closedTargets.push(target);
+    await context.replaceTarget(host);
+    return true;
+  });
+}
+
 /** Every fault by its name. */
 export const faults: Readonly<Record<string, FaultInjector>> = {
   'kill-process': (context) => restartHost(pickHost(context), 'SIGKILL'),
@@ -126,20 +151,28 @@
       return true;
     });
   },
-  'drain-target': function (context) {
-    const host = pickHost(context);
-    return runExclusively(host, async () => {
-      const { target } = host;
-      target.stopHeartbeats();
-      const isAcknowledged = (await target.announce('draining')) === 200;
-      if (isAcknowledged) context.drainedTargets.push({ target, acknowledgedAt: Date.now() });
-      await timers.setTimeout(DRAIN_LIMIT_MS * 1.5);
-      await target.deregister();
-      await target.close();
-      context.closedTargets.push(target);
-      await context.replaceTarget(host);
-      return true;
+  'drain-target': (context) => removeTarget(context, (target) => target.announce('draining')),
+  'deregister-target': (context) =>
+    removeTarget(context, async (target) => {
+      const status = await target.deregister();
+      // A heartbeat that was sent before the deregistration and arrives after it.
+      await target.announce('ready');
+      return status;
+    }),
+  'limit-target': async function (context) {
+    const { target } = pickHost(context);
+    if (Object.keys(target.noticeHeaders).length > 0) return false;
+    const statedAt = Date.now();
+    target.noticeHeaders = { 'server-limit': String(LIMITED_CALLS_PER_SECOND) };
+    await timers.setTimeout(LIMIT_DURATION_MS);
+    target.noticeHeaders = {};
+    context.limitedTargets.push({
+      target,
+      callsPerSecond: LIMITED_CALLS_PER_SECOND,
+      statedAt,
+      endedAt: Date.now(),
     });
+    return true;
   },
   'lose-answers': (context, durationMs) =>
     injectTargetFault(context, durationMs, { lostResponseShare: 0.3 }),
--- a/packages/stand-ins/src/mesh-soak/main.ts
+++ b/packages/stand-ins/src/mesh-soak/main.ts
@@ -94,6 +94,7 @@
   const links = new Map<string, faultLink.FaultLink>();
   const closedTargets: meshTarget.MeshTarget[] = [];
   const drainedTargets: checks.DrainedTarget[] = [];
+  const limitedTargets: checks.LimitedTarget[] = [];
   const calls: checks.SentCall[] = [];
   const observed: checks.ObservedVersion[] = [];
   const injectedCounts = new Map<string, number>();
@@ -215,6 +216,7 @@
     links,
     random,
     drainedTargets,
+    limitedTargets,
     closedTargets,
     replaceTarget,
     publishNextVersion,
@@ -302,7 +304,7 @@
       .flatMap((target) => target.runs)
       .filter(({ callId }) => !callId.startsWith('probe-'));
     const violations = [
-      ...checks.checkCalls(calls, runs, drainedTargets),
+      ...checks.checkCalls(calls, runs, { drainedTargets, limitedTargets }),
       ...checks.checkVersions(observed),
       ...recovery,
     ];
