Local target: requests to the target are built in a module of their own

The headers and the framing of a request depend on none of its state; they move to target-request.ts without a change of behaviour.

--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -1,4 +1,4 @@
-import * as http from 'node:http';
+import type * as http from 'node:http';
 import type * as core from '@figshed/core';
 import * as mesh from '@figshed/core/mesh';
 import * as upstreamResponse from './upstream-response.js';
@@ -7,6 +7,7 @@
 import * as keepAliveAgent from './keep-alive-agent.js';
 import * as meshHeaders from './mesh-headers.js';
 import * as responseBytes from './response-bytes.js';
+import * as targetRequest from './target-request.js';
 import type * as types from './types.js';
 
 /** Runs attempts at the target on this host, within its slots and only while its gate is open. */
@@ -68,11 +69,7 @@
   const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults);
   const rateLimit = mesh.createStatedRateLimit();
   const agent = keepAliveAgent.createAgent(TARGET_IDLE_TIMEOUT_MS);
-  const droppedHeaders = new Set([
-    protocol.deadlineHeader,
-    protocol.expectedInstanceHeader,
-    protocol.notExecutedHeader,
-  ]);
+  const createRequest = targetRequest.createTargetRequestFactory({ protocol, agent, endpoint });
   const openAttempts = new Map<string, LocalAttempt>();
   let failureShare = 0;
   let lastKey = 0;
@@ -260,22 +257,7 @@
     let isConnected = false;
     entry.target = target;
     entry.sentAt = now;
-    const hasBody = body.length > 0 || (attempt.method !== 'GET' && attempt.method !== 'HEAD');
-    const request = http.request({
-      agent,
-      host: endpoint.address,
-      port: endpoint.port,
-      method: attempt.method,
-      path: attempt.path,
-      headers: [
-        ...meshHeaders.copyHeaders(attempt.headers, droppedHeaders),
-        protocol.deadlineHeader,
-        String(remainingMs),
-        protocol.expectedInstanceHeader,
-        target.id,
-        ...(hasBody ? ['Content-Length', String(body.length)] : []),
-      ],
-    });
+    const request = createRequest(attempt, { target, bodyBytes: body.length, remainingMs });
     entry.request = request;
     const overrunTimer = setTimeout(() => {
       request.destroy(new Error('deadline-overrun'));
