Planned stop: a response that is being streamed is not cut before the exit

The end of the open calls in a stop also cancelled the attempt of a call whose response was being streamed, 200 ms before the process exits. Found by reading. Such a call leaves the set of calls that can expire, as its timers end. Beside it, the tracker of stated limits says the same in fewer conditions.

The tests of the stop, of stated limits and of the core's mesh part pass (101).

--- a/packages/core/src/mesh/start-rate.ts
+++ b/packages/core/src/mesh/start-rate.ts
@@ -1,9 +1,12 @@
 import * as tokenBucket from '../limits/token-bucket.js';
 
 export interface StartRateOptions {
-  /** Time for which unused starts accumulate, in milliseconds. */
+  /**
+   * Time for which unused starts accumulate, in milliseconds; short, so that any few seconds see
+   * little more than the limit.
+   */
   burstMs: number;
-  /** Lowest rate, in starts per second, so that the end of a limit of zero is noticed. */
+  /** Lowest rate, in starts per second; one in four seconds, to notice the end of a limit of zero. */
   minPerSecond: number;
 }
 
--- a/packages/core/src/mesh/stated-rate-limit.ts
+++ b/packages/core/src/mesh/stated-rate-limit.ts
@@ -35,14 +35,11 @@
     },
     recordResponse({ incarnation, sentAt, callsPerSecond }, now) {
       if (incarnation !== currentIncarnation) return false;
-      const isOlder = callsPerSecond === undefined && sentAt <= statedAt;
-      if (isOlder || callsPerSecond === limit) {
-        if (callsPerSecond !== undefined) statedAt = now;
-        return false;
-      }
+      if (callsPerSecond === undefined && sentAt <= statedAt) return false;
+      const hasChanged = callsPerSecond !== limit;
       limit = callsPerSecond;
-      statedAt = now;
-      return true;
+      if (callsPerSecond !== undefined) statedAt = now;
+      return hasChanged;
     },
     get: () => limit,
   };
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -91,7 +91,7 @@
   const logger = callLog.createCallLog(ctx);
   const hedgeDelayEstimator = mesh.createHedgeDelayEstimator(mesh.hedgeDelayDefaults);
   const responseSizes = mesh.createResponseSizes();
-  /** Functions that end the open calls. */
+  /** Functions that end the calls that can still expire. */
   const openCalls = new Set<() => void>();
 
   const getRetryBudget = (service: string): core.RetryBudget => {
@@ -139,11 +139,16 @@
     let deadlineTimer: NodeJS.Timeout | undefined;
     let hedgeTimer: NodeJS.Timeout | undefined;
 
-    const recordEnd = (outcome: string, status: number): void => {
+    /** The call can no longer expire, because it has ended or its response is being streamed. */
+    const clearTimers = (): void => {
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the two refer to one another
       openCalls.delete(expireCall);
       clearTimeout(deadlineTimer);
       clearTimeout(hedgeTimer);
+    };
+
+    const recordEnd = (outcome: string, status: number): void => {
+      clearTimers();
       const tookMs = clock.monotonic() - call.receivedAt;
       metrics.count('calls_total', { outcome });
       metrics.observe('call_ms', tookMs);
@@ -176,8 +181,7 @@
           bufferedResponse = undefined;
           lastHostId = hostId;
           handleEvent({ type: 'streaming' });
-          clearTimeout(deadlineTimer);
-          clearTimeout(hedgeTimer);
+          clearTimers();
           responder.stream(upstream, chunks);
         },
         onStreamed() {
