Egress: do not start an attempt whose connection has already ended

The same cause as in the route mesh, found by looking for it in the product's own call path: the proxy beside a target started an attempt as soon as its request was read, although the close of its connection was pending.

Change: it waits until all sockets have been polled once more. `waitForSocketPoll` moves out of mesh/ for that.

The ingress of that path was not changed.

--- a/packages/proxy/src/egress/egress-http.ts
+++ b/packages/proxy/src/egress/egress-http.ts
@@ -4,6 +4,7 @@
 import * as headers from '../calls/headers.js';
 import type * as types from '../calls/types.js';
 import type * as context from '../context.js';
+import * as eventLoop from '../event-loop.js';
 import type * as targetEgress from './egress.js';
 
 const names = headers.headerNames;
@@ -109,7 +110,17 @@
       response.writeHead(HTTP_BAD_REQUEST).end();
       return;
     }
-    const responder = createResponder(attempt.attemptId, response);
-    responder.attach(egress.run(attempt, responder));
+    const startUnlessDisconnected = (): void => {
+      if (response.destroyed || request.socket.readableEnded) {
+        response.destroy();
+        return;
+      }
+      const responder = createResponder(attempt.attemptId, response);
+      responder.attach(egress.run(attempt, responder));
+    };
+    eventLoop
+      .waitForSocketPoll()
+      .then(startUnlessDisconnected)
+      .catch((error: unknown) => ctx.reportError('attempt-start', error));
   });
 }
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -7,7 +7,7 @@
 import * as callLog from './call-log.js';
 import * as constants from './constants.js';
 import type * as context from './context.js';
-import * as eventLoop from './event-loop.js';
+import * as eventLoop from '../event-loop.js';
 import type * as peerClient from './peer-client.js';
 import type * as localTarget from './local-target.js';
 import type * as targetTable from './target-table.js';
--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -8,7 +8,7 @@
 import type * as configurationSender from './configuration-sender.js';
 import * as constants from './constants.js';
 import type * as context from './context.js';
-import * as eventLoop from './event-loop.js';
+import * as eventLoop from '../event-loop.js';
 import * as meshHeaders from './mesh-headers.js';
 import type * as localTarget from './local-target.js';
 import type * as types from './types.js';
