Overload: reject what cannot be served once it is known, count objectives from the first call

Cause: in the first seconds of an overload of one service, late calls were queued behind calls that could meet their objective and hardly ever started. The factor that stood for overtaking calls was fixed at 2, and the wait counted running calls by one mean of all kinds.

Change: the queue measures which share of the starts late calls get, estimates the next end of a running call from its kind and its age, and checks queued calls against those ahead of them. A late call that one host refuses is rejected. A caller that returns is recognised by its deadline; its objective counts from its first call. Nested calls are never late. A call without time for a quarter of the mean response is not sent.

--- a/packages/core/src/mesh/call-machine.ts
+++ b/packages/core/src/mesh/call-machine.ts
@@ -44,6 +44,8 @@
 /** Limits for the attempts of one call. */
 export interface CallPolicy {
   isRepeatable: boolean;
+  /** True if the call is expected to miss its objective from the start. */
+  isLate: boolean;
   maxAttempts: number;
   /** Capacity refusals after which the call is sent with `mayBeLate`. */
   maxRefusals: number;
@@ -67,6 +69,8 @@
 
 /** Maximum number of refusals by hosts that cannot take calls; each costs a round trip. */
 const MAX_SKIPPED_HOSTS = 6;
+/** Maximum number of refusals by targets themselves, which say nothing of other targets. */
+const MAX_TARGET_REFUSALS = 6;
 
 const skipReasons: ReadonlySet<types.RefusalReason> = new Set([
   'draining',
@@ -97,8 +101,9 @@
   let skippedHosts = 0;
   let retryAfterMs = 0;
   /** True once the call is sent as a late call, since no target could meet its objective. */
-  let isLate = false;
+  let { isLate } = policy;
   let lateRefusals = 0;
+  let targetRefusals = 0;
 
   const send = (): CallEffect[] => {
     openAttempts += 1;
@@ -110,6 +115,9 @@
     return [effect];
   };
 
+  /** The caller has received a part of a response that cannot be completed. */
+  const abort = (): CallEffect[] => finish({ type: 'abort' });
+
   const rejectCall = (): CallEffect[] =>
     finish(
       attemptsRun > 0
@@ -124,6 +132,8 @@
 
   const recordRefusal = (event: { reason: types.RefusalReason; retryAfterMs: number }): void => {
     if (skipReasons.has(event.reason)) skippedHosts += 1;
+    else if (event.reason === 'target-refused') targetRefusals += 1;
+    else if (isLate) lateRefusals += 1;
     else refusals += 1;
     retryAfterMs =
       retryAfterMs === 0 ? event.retryAfterMs : Math.min(retryAfterMs, event.retryAfterMs);
@@ -147,6 +157,7 @@
     'no-target': function () {
       openAttempts -= 1;
       if (openAttempts > 0) return [];
+      if (isStreaming) return abort();
       return refusals > 0 && !isLate ? sendAsLate() : rejectCall();
     },
     refused(event) {
@@ -155,17 +166,17 @@
       // A call that the target itself refused has loaded that target, so its retry needs budget.
       const mayContinue = event.reason !== 'target-refused' || policy.takeRetry();
       if (openAttempts > 0) return [];
+      if (isStreaming) return abort();
       if (!mayContinue || skippedHosts >= MAX_SKIPPED_HOSTS) return rejectCall();
-      if (isLate) {
-        if (!skipReasons.has(event.reason)) lateRefusals += 1;
-        return lateRefusals >= policy.maxLateRefusals ? rejectCall() : send();
-      }
-      return refusals >= policy.maxRefusals ? sendAsLate() : send();
+      if (targetRefusals >= MAX_TARGET_REFUSALS || lateRefusals >= policy.maxLateRefusals)
+        return rejectCall();
+      return refusals >= policy.maxRefusals && !isLate ? sendAsLate() : send();
     },
     broken() {
       openAttempts -= 1;
       attemptsRun += 1;
       if (openAttempts > 0) return [];
+      if (isStreaming) return abort();
       return tryTakeRetry() ? send() : rejectCall();
     },
     unacknowledged: () => (isStreaming ? [] : trySendInParallel()),
--- a/packages/core/src/mesh/hedge-delay.ts
+++ b/packages/core/src/mesh/hedge-delay.ts
@@ -30,6 +30,8 @@
   addSample(kind: string, tookMs: number): void;
   /** Returns the hedge delay of a kind; undefined while there are too few samples. */
   computeHedgeDelayMs(kind: string): number | undefined;
+  /** Returns the mean response time of a kind; undefined while there are too few samples. */
+  getMeanMs(kind: string): number | undefined;
 }
 
 interface ResponseTimeStats extends movingAverage.MovingAverage {
@@ -45,6 +47,12 @@
  */
 export function createHedgeDelayEstimator(options: HedgeDelayOptions): HedgeDelayEstimator {
   const statsByKind = new Map<string, ResponseTimeStats>();
+
+  const getReliableStats = (kind: string): ResponseTimeStats | undefined => {
+    const stats = statsByKind.get(kind);
+    return stats && stats.samples >= options.minSamples ? stats : undefined;
+  };
+
   return {
     addSample(kind, tookMs) {
       const stats = statsByKind.get(kind) ?? { samples: 0, meanMs: tookMs, deviationMs: 0 };
@@ -54,10 +62,11 @@
       statsByKind.set(kind, stats);
     },
     computeHedgeDelayMs(kind) {
-      const stats = statsByKind.get(kind);
-      if (!stats || stats.samples < options.minSamples) return undefined;
+      const stats = getReliableStats(kind);
+      if (!stats) return undefined;
       const upperBoundMs = movingAverage.computeUpperBoundMs(stats, options.deviationFactor);
       return Math.max(stats.meanMs * options.minMeanFactor, upperBoundMs);
     },
+    getMeanMs: (kind) => getReliableStats(kind)?.meanMs,
   };
 }
--- a/packages/core/src/mesh/index.ts
+++ b/packages/core/src/mesh/index.ts
@@ -39,6 +39,12 @@
   type LinkPacer,
   type LinkPacerOptions,
 } from './link-pacer.js';
+export {
+  createLateShare,
+  lateShareDefaults,
+  type LateShare,
+  type LateShareOptions,
+} from './late-share.js';
 export { createResponseSizes, type ResponseSizes } from './response-sizes.js';
 export {
   createAckTimeout,
@@ -56,6 +62,13 @@
   type PlacementOptions,
   type Locality,
 } from './placement.js';
+export {
+  createRejectedCalls,
+  rejectedCallsDefaults,
+  type RejectedCall,
+  type RejectedCalls,
+  type RejectedCallsOptions,
+} from './rejected-calls.js';
 export { compileRoutes, type RouteTable } from './routes.js';
 export {
   createSlotQueue,
--- a/packages/core/src/mesh/service-time-estimates.ts
+++ b/packages/core/src/mesh/service-time-estimates.ts
@@ -1,4 +1,5 @@
 /** Service time estimates of one target by kind of call. */
+import * as movingAverage from './moving-average.js';
 
 export interface ServiceTimeOptions {
   /** Weight of the newest sample; the first 1 / `gain` samples form a plain mean. */
@@ -9,6 +10,8 @@
   priorMs: number;
   /** Half-life of the weight of an estimate since its last sample, in milliseconds. */
   halfLifeMs: number;
+  /** Mean deviations by which a call should start earlier than its objective requires. */
+  marginDeviations: number;
 }
 
 export const serviceTimeDefaults: ServiceTimeOptions = {
@@ -17,6 +20,7 @@
   priorMs: 100,
   // A slow target is retried after about the time that a new one needs for its slow start.
   halfLifeMs: 3_000,
+  marginDeviations: 0.5,
 };
 
 export interface ServiceTimes {
@@ -26,10 +30,11 @@
   /** Returns the assumed service time of a call with `objectiveMs` left until its objective. */
   computePriorMs(objectiveMs: number): number;
   getMeanMs(): number;
+  /** Returns the safety margin for the variation of the service times of a kind, in milliseconds. */
+  getMarginMs(kind: string): number;
 }
 
-interface MovingMean {
-  meanMs: number;
+interface MovingMean extends movingAverage.MovingAverage {
   samples: number;
   /** Monotonic time of the last sample, in milliseconds. */
   sampledAt: number;
@@ -44,17 +49,27 @@
  */
 export function createServiceTimes(options: ServiceTimeOptions): ServiceTimes {
   const meansByKind = new Map<string, MovingMean>();
-  const overallMean: MovingMean = { meanMs: options.priorMs, samples: 0, sampledAt: 0 };
+  const overallMean: MovingMean = {
+    meanMs: options.priorMs,
+    deviationMs: 0,
+    samples: 0,
+    sampledAt: 0,
+  };
 
   const updateMean = (mean: MovingMean, sampleMs: number, now: number): void => {
     mean.sampledAt = now;
     mean.samples += 1;
-    mean.meanMs += (sampleMs - mean.meanMs) * Math.max(options.gain, 1 / mean.samples);
+    movingAverage.addSample(mean, sampleMs, Math.max(options.gain, 1 / mean.samples));
   };
 
   return {
     addSample(kind, sampleMs, now) {
-      const mean = meansByKind.get(kind) ?? { meanMs: 0, samples: 0, sampledAt: now };
+      const mean = meansByKind.get(kind) ?? {
+        meanMs: sampleMs,
+        deviationMs: 0,
+        samples: 0,
+        sampledAt: now,
+      };
       updateMean(mean, sampleMs, now);
       meansByKind.set(kind, mean);
       updateMean(overallMean, sampleMs, now);
@@ -68,5 +83,6 @@
     computePriorMs: (objectiveMs) =>
       objectiveMs > 0 ? objectiveMs * options.priorShare : options.priorMs,
     getMeanMs: () => overallMean.meanMs,
+    getMarginMs: (kind) => (meansByKind.get(kind)?.deviationMs ?? 0) * options.marginDeviations,
   };
 }
--- a/packages/core/src/mesh/slot-queue.ts
+++ b/packages/core/src/mesh/slot-queue.ts
@@ -8,6 +8,7 @@
  * calls that can no longer meet their objective start after all others. A target that asks for fewer
  * calls gets them at the rate that it names, which counts as a queueing delay.
  */
+import * as lateShares from './late-share.js';
 import * as serviceTimeEstimates from './service-time-estimates.js';
 import * as startRates from './start-rate.js';
 import type * as types from './types.js';
@@ -33,18 +34,17 @@
 
 export interface SlotQueueOptions {
   serviceTimes: serviceTimeEstimates.ServiceTimeOptions;
-  /**
-   * Multiplies the expected queueing delay of a late call, since calls that can meet their
-   * objective continue to overtake it; 2 assumes that those take half of the slots.
-   */
-  lateWaitFactor: number;
+  lateShare: lateShares.LateShareOptions;
+  /** Minimum remaining time of a running call, as a share of its estimate. */
+  minRemainingShare: number;
   /** Maximum number of queued calls per slot; bounds memory. */
   maxWaitingPerSlot: number;
 }
 
 export const slotQueueDefaults: SlotQueueOptions = {
   serviceTimes: serviceTimeEstimates.serviceTimeDefaults,
-  lateWaitFactor: 2,
+  lateShare: lateShares.lateShareDefaults,
+  minRemainingShare: 0.25,
   maxWaitingPerSlot: 8,
 };
 
@@ -92,6 +92,10 @@
   priorMs: number;
 }
 
+interface RunningRequest extends QueuedRequest {
+  startedAt: number;
+}
+
 /**
  * Creates an empty queue for one target.
  *
@@ -102,32 +106,80 @@
   let slots = initialSlots;
   const serviceTimes = serviceTimeEstimates.createServiceTimes(options.serviceTimes);
   const startRate = startRates.createStartRate(startRates.startRateDefaults);
-  const running = new Map<string, Pick<QueuedRequest, 'kind' | 'priorMs'>>();
+  const lateShare = lateShares.createLateShare(options.lateShare);
+  const running = new Map<string, RunningRequest>();
   let waiting: QueuedRequest[] = [];
 
-  const isDeadlineMissed = ({ kind, priorMs, deadlineAt }: QueuedRequest, now: number): boolean =>
-    now + serviceTimes.estimateMs(kind, priorMs, now) > deadlineAt;
+  const estimateMs = ({ kind, priorMs }: QueuedRequest, now: number): number =>
+    serviceTimes.estimateMs(kind, priorMs, now);
 
-  const isObjectiveMissed = ({ kind, priorMs, objectiveAt }: QueuedRequest, now: number): boolean =>
-    now + serviceTimes.estimateMs(kind, priorMs, now) > objectiveAt;
+  const isDeadlineMissed = (request: QueuedRequest, startAt: number, now: number): boolean =>
+    startAt + estimateMs(request, now) > request.deadlineAt;
+
+  const isObjectiveMissed = (request: QueuedRequest, startAt: number, now: number): boolean =>
+    startAt + estimateMs(request, now) + serviceTimes.getMarginMs(request.kind) >
+    request.objectiveAt;
+
+  /** A nested call is never late: while it waits, its parent call occupies a slot. */
+  const isLate = (request: QueuedRequest, now: number): boolean =>
+    request.rank >= 0 && isObjectiveMissed(request, now, now);
 
   const compareUrgency = (left: QueuedRequest, right: QueuedRequest, now: number): number =>
-    Number(isObjectiveMissed(left, now)) - Number(isObjectiveMissed(right, now)) ||
+    Number(isLate(left, now)) - Number(isLate(right, now)) ||
     left.rank - right.rank ||
     left.objectiveAt - right.objectiveAt;
 
+  /**
+   * Estimates the time until the next running call ends, from the sum of the rates at which they end;
+   * 0 while a slot is free. A call that exceeds its estimate shows that the target is slow.
+   */
+  const estimateNextEndMs = (now: number): number => {
+    if (running.size < slots) return 0;
+    const endsPerMs = [...running.values()].reduce((sum, call) => {
+      const estimatedMs = Math.max(1, estimateMs(call, now));
+      const ranMs = now - call.startedAt;
+      const minRemainingMs = estimatedMs * options.minRemainingShare;
+      return sum + 1 / Math.max(estimatedMs - ranMs, ranMs - estimatedMs, minRemainingMs);
+    }, 0);
+    return endsPerMs === 0 ? 0 : 1 / endsPerMs;
+  };
+
+  const estimateQueuedMs = (requests: readonly QueuedRequest[], now: number): number =>
+    requests.reduce((sum, request) => sum + estimateMs(request, now), 0) / Math.max(1, slots);
+
+  /** Estimates the queueing delay of a call that starts after `ahead`, in milliseconds. */
+  const estimateWaitMs = (
+    ahead: readonly QueuedRequest[],
+    isOvertaken: boolean,
+    now: number,
+  ): number => {
+    const slotWaitMs = estimateNextEndMs(now) + estimateQueuedMs(ahead, now);
+    return Math.max(
+      isOvertaken ? slotWaitMs / lateShare.estimate(now) : slotWaitMs,
+      startRate.computeDelayMs(ahead.length + 1, now),
+    );
+  };
+
   const refuse = (id: string, reason: 'full' | 'too-late', now: number): SlotEffect => ({
     type: 'refuse',
     id,
     reason,
     retryAfterMs: Math.max(
-      (waiting.length + 1) * (serviceTimes.getMeanMs() / Math.max(1, slots)),
+      estimateNextEndMs(now) + estimateQueuedMs(waiting, now),
       startRate.computeDelayMs(waiting.length + 1, now),
     ),
   });
 
+  /** Refuses the calls that are expected to start too late, given those ahead of them. */
   const refuseExpired = (now: number): SlotEffect[] => {
-    const expired = waiting.filter((request) => isDeadlineMissed(request, now));
+    const ordered = [...waiting].sort((left, right) => compareUrgency(left, right, now));
+    const kept: QueuedRequest[] = [];
+    const expired = ordered.filter((request) => {
+      const waitMs = running.size < slots ? 0 : estimateWaitMs(kept, isLate(request, now), now);
+      const isExpired = isDeadlineMissed(request, now + waitMs, now);
+      if (!isExpired) kept.push(request);
+      return isExpired;
+    });
     if (expired.length === 0) return [];
     waiting = waiting.filter((request) => !expired.includes(request));
     return expired.map(({ id }) => refuse(id, 'too-late', now));
@@ -139,8 +191,10 @@
       const next = waiting.reduce((best, other) =>
         compareUrgency(other, best, now) < 0 ? other : best,
       );
+      if (waiting.some((request) => isLate(request, now)))
+        lateShare.recordStart(isLate(next, now), now);
       waiting = waiting.filter((request) => request !== next);
-      running.set(next.id, next);
+      running.set(next.id, { ...next, startedAt: now });
       effects.push({ type: 'run', id: next.id, waitedMs: now - next.enqueuedAt });
     }
     return effects;
@@ -158,16 +212,10 @@
     offer(request, now) {
       const priorMs = serviceTimes.computePriorMs(request.objectiveAt - now);
       const queued = { ...request, enqueuedAt: now, priorMs };
-      const callsAhead = waiting.filter((other) => compareUrgency(other, queued, now) <= 0).length;
-      const roundsAhead = running.size < slots ? 0 : (callsAhead + 1) / Math.max(1, slots);
-      const waitFactor = request.mayBeLate ? options.lateWaitFactor : 1;
-      const waitMs = Math.max(
-        roundsAhead * serviceTimes.getMeanMs(),
-        startRate.computeDelayMs(callsAhead + 1, now),
-      );
-      const expectedStartAt = now + waitMs * waitFactor;
-      if (isDeadlineMissed(queued, expectedStartAt)) return [refuse(request.id, 'too-late', now)];
-      if (!request.mayBeLate && waitMs > 0 && isObjectiveMissed(queued, expectedStartAt)) {
+      const ahead = waiting.filter((other) => compareUrgency(other, queued, now) <= 0);
+      const waitMs = estimateWaitMs(ahead, request.mayBeLate, now);
+      if (isDeadlineMissed(queued, now + waitMs, now)) return [refuse(request.id, 'too-late', now)];
+      if (!request.mayBeLate && waitMs > 0 && isObjectiveMissed(queued, now + waitMs, now)) {
         return [refuse(request.id, 'full', now)];
       }
       waiting.push(queued);
@@ -185,7 +233,7 @@
     releaseCancelled(id, ranMs, now) {
       const call = running.get(id);
       if (!call) return [];
-      const isSlow = ranMs > serviceTimes.estimateMs(call.kind, call.priorMs, now);
+      const isSlow = ranMs > estimateMs(call, now);
       return release(id, isSlow ? ranMs : undefined, now);
     },
     cancel(id) {
@@ -209,7 +257,7 @@
     poll: startNext,
     hasWaiting: () => waiting.length > 0,
     getLoad(now) {
-      const late = waiting.filter((request) => isObjectiveMissed(request, now)).length;
+      const late = waiting.filter((request) => isLate(request, now)).length;
       return {
         running: running.size,
         waiting: waiting.length - late,
--- a/packages/core/test/mesh-call-machine.test.ts
+++ b/packages/core/test/mesh-call-machine.test.ts
@@ -9,6 +9,7 @@
 
 const createPolicy = (overrides: Partial<mesh.CallPolicy> = {}): mesh.CallPolicy => ({
   isRepeatable: true,
+  isLate: false,
   maxAttempts: 2,
   maxRefusals: 3,
   maxLateRefusals: 1,
@@ -236,6 +237,24 @@
     assert.deepEqual(machine.handle({ type: 'overdue' }), []);
   });
 
+  it('ends a call whose streamed response breaks off, without another attempt or response', () => {
+    const endings: CallEvent[] = [{ type: 'broken' }, createRefusal('full'), { type: 'no-target' }];
+    endings.forEach((ending) => {
+      const machine = mesh.createCallStateMachine(createPolicy());
+      machine.handle({ type: 'start' });
+      machine.handle({ type: 'streaming' });
+      assert.deepEqual(machine.handle(ending), [{ type: 'abort' }]);
+    });
+  });
+
+  it('rejects a call that is late from the start once a host has no capacity for it', () => {
+    const machine = mesh.createCallStateMachine(createPolicy({ isLate: true }));
+    assert.deepEqual(machine.handle({ type: 'start' }), [{ type: 'send', mayBeLate: true }]);
+    assert.deepEqual(machine.handle(createRefusal('too-late', 50)), [
+      { type: 'answer', status: 503, outcome: 'not-run', retryAfterMs: 50 },
+    ]);
+  });
+
   it('sends a call as late only after the maximum number of capacity refusals', () => {
     const machine = mesh.createCallStateMachine(createPolicy());
     machine.handle({ type: 'start' });
--- a/packages/core/test/mesh-slot-queue.test.ts
+++ b/packages/core/test/mesh-slot-queue.test.ts
@@ -121,11 +121,13 @@
 
   it('refuses a queued call as soon as its deadline cannot be met', () => {
     const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults);
-    queue.offer(createRequest('running'), 0);
-    queue.offer(
-      createRequest('waiting', { mayBeLate: true, objectiveAt: 200, deadlineAt: 300 }),
-      0,
-    );
+    queue.offer(createRequest('running', { objectiveAt: 250 }), 0);
+    const waiting = createRequest('waiting', {
+      mayBeLate: true,
+      objectiveAt: 200,
+      deadlineAt: 300,
+    });
+    assert.deepEqual(queue.offer(waiting, 0), []);
     assert.deepEqual(queue.poll(100), []);
     const [effect] = queue.poll(299);
     assert.equal(effect?.type === 'refuse' && effect.reason, 'too-late');
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -91,6 +91,7 @@
   const logger = callLog.createCallLog(ctx);
   const hedgeDelayEstimator = mesh.createHedgeDelayEstimator(mesh.hedgeDelayDefaults);
   const responseSizes = mesh.createResponseSizes();
+  const rejectedCalls = mesh.createRejectedCalls(mesh.rejectedCallsDefaults);
   /** Functions that end the calls that can still expire. */
   const openCalls = new Set<() => void>();
 
@@ -114,7 +115,10 @@
     const triedHosts = new Set<string>();
     const fullHosts = new Set<string>();
     const effectiveDeadlineAt = Math.min(call.deadlineAt, call.receivedAt + route.timeoutMs);
-    const objectiveAt = Math.min(effectiveDeadlineAt, call.receivedAt + route.objectiveMs);
+    const key = `${route.name} ${call.method} ${call.path}`;
+    const firstReceivedAt =
+      rejectedCalls.take(key, call.deadlineAt)?.firstReceivedAt ?? call.receivedAt;
+    const objectiveAt = Math.min(effectiveDeadlineAt, firstReceivedAt + route.objectiveMs);
     let wasLateAllowed = false;
     let deniedRetries = 0;
     const takeRetry = (): boolean => {
@@ -127,6 +131,10 @@
     };
     const stateMachine = mesh.createCallStateMachine({
       isRepeatable: route.isRepeatable,
+      isLate:
+        objectiveAt - call.receivedAt <
+        Math.min(route.objectiveMs, effectiveDeadlineAt - call.receivedAt) *
+          constants.MIN_OBJECTIVE_SHARE,
       maxAttempts: route.maxAttempts,
       maxRefusals: constants.MAX_REFUSALS,
       maxLateRefusals: constants.MAX_LATE_REFUSALS,
@@ -272,6 +280,12 @@
       // Hosts whose queue had no room within the objective may still have room within the deadline.
       if (mayBeLate && !wasLateAllowed) fullHosts.forEach((hostId) => triedHosts.delete(hostId));
       wasLateAllowed = mayBeLate;
+      const remainingMs = effectiveDeadlineAt - clock.monotonic();
+      const meanMs = hedgeDelayEstimator.getMeanMs(route.name) ?? 0;
+      if (remainingMs < meanMs * constants.MIN_REMAINING_SHARE) {
+        handleEvent({ type: 'no-target' });
+        return;
+      }
       const placement = targets.chooseTarget(service, triedHosts, {
         responseKilobytes: responseSizes.getMeanBytes(route.name) / mesh.BYTES_PER_KILOBYTE,
         mayBeLate,
@@ -326,6 +340,8 @@
       },
       answer({ outcome, status, retryAfterMs }) {
         recordEnd(outcome, status);
+        if (outcome === 'not-run')
+          rejectedCalls.record({ key, firstReceivedAt, deadlineAt: call.deadlineAt });
         responder.refuse(status, retryAfterMs);
       },
       abort: () => responder.abort(),
--- a/packages/proxy/src/mesh/constants.ts
+++ b/packages/proxy/src/mesh/constants.ts
@@ -45,9 +45,16 @@
 /** How long a host's circuit breaker stays open after a failure; two gossip rounds. */
 export const CIRCUIT_OPEN_MS = 1_000;
 /** Refusals for lack of capacity after which a call is sent as a late call. */
-export const MAX_REFUSALS = 3;
+export const MAX_REFUSALS = 2;
 /** Refusals of a late call after which the caller receives an error. */
-export const MAX_LATE_REFUSALS = 3;
+export const MAX_LATE_REFUSALS = 1;
+/**
+ * Share of the mean response time of its route that a call must have left to be sent to a target; most
+ * calls take longer.
+ */
+export const MIN_REMAINING_SHARE = 0.25;
+/** Share of its latency objective that a call must have left to be expected to meet it. */
+export const MIN_OBJECTIVE_SHARE = 0.5;
 /** Deadline of a call without a deadline header. */
 export const DEFAULT_DEADLINE_MS = 30_000;
 /** Interval at which the queue is checked for calls that can no longer be served in time. */
