Uploads: stream large bodies of calls that are not repeatable

Placement counted response bytes only, so uploads crossed regions as cheaply as small calls.

Change: above 256 KiB the body of a call that is not repeatable is read only once a target can take it, at the rate at which the target reads. A stall of 2 s, a caller that breaks off or a response before the end of the body ends the attempt and closes its connection. A caller whose call is rejected gets the response at once and its body is drained within 1 MiB. Placement counts both bodies.

--- a/packages/core/src/mesh/placement.ts
+++ b/packages/core/src/mesh/placement.ts
@@ -30,7 +30,7 @@
    * use of links between data centres and regions.
    */
   localityCostMs: Record<Locality, number>;
-  /** Cost per kilobyte of the response, which keeps calls with large responses local. */
+  /** Cost per kilobyte of a call's bodies, which keeps large transfers local. */
   kilobyteCostMs: Record<Locality, number>;
   /** Half-life of the weight of a load report, in milliseconds. */
   loadHalfLifeMs: number;
@@ -80,15 +80,15 @@
  * the last load report decays with its age, in favour of `meanServiceMs` and the open calls.
  *
  * @example
- * const call = { meanServiceMs: 120, responseKilobytes: 5, mayBeLate: false };
+ * const call = { meanServiceMs: 120, kilobytes: 5, mayBeLate: false };
  * computeExpectedCompletionMs(candidate, call, placementDefaults);
  */
 export function computeExpectedCompletionMs(
   candidate: PlacementCandidate,
-  call: { meanServiceMs: number; responseKilobytes: number; mayBeLate: boolean },
+  call: { meanServiceMs: number; kilobytes: number; mayBeLate: boolean },
   options: PlacementOptions,
 ): number {
-  const { meanServiceMs, responseKilobytes, mayBeLate } = call;
+  const { meanServiceMs, kilobytes, mayBeLate } = call;
   const freshness = candidate.load ? 0.5 ** (candidate.loadAgeMs / options.loadHalfLifeMs) : 0;
   const lastLoad = candidate.load ?? emptyLoad;
   const serviceMs = lastLoad.serviceMs * freshness + meanServiceMs * (1 - freshness);
@@ -107,12 +107,11 @@
   const failureMs = lastLoad.failureShare * freshness * options.failureCostMs;
   const localityMs =
     options.localityCostMs[candidate.locality] +
-    options.kilobyteCostMs[candidate.locality] * responseKilobytes;
-  const isLarge =
-    responseKilobytes * constants.BYTES_PER_KILOBYTE >= constants.LARGE_RESPONSE_BYTES;
+    options.kilobyteCostMs[candidate.locality] * kilobytes;
+  const isLarge = kilobytes * constants.BYTES_PER_KILOBYTE >= constants.LARGE_RESPONSE_BYTES;
   const backlogMs = isLarge ? lastLoad.backlogMs * freshness : 0;
   const linkMs =
-    candidate.locality === 'own-host' ? 0 : backlogMs + lastLoad.kilobyteMs * responseKilobytes;
+    candidate.locality === 'own-host' ? 0 : backlogMs + lastLoad.kilobyteMs * kilobytes;
   return localityMs + linkMs + serviceMs + waitMs + utilisationMs + slowStartMs + failureMs;
 }
 
@@ -135,13 +134,13 @@
  * candidate is left.
  *
  * @example
- * const call = { responseKilobytes: 5, mayBeLate: false };
+ * const call = { kilobytes: 5, mayBeLate: false };
  * choosePlacement(candidates, new Set(['10.0.0.7']), call, placementDefaults, random)?.hostId;
  */
 export function choosePlacement(
   candidates: readonly PlacementCandidate[],
   tried: ReadonlySet<string>,
-  call: { responseKilobytes: number; mayBeLate: boolean },
+  call: { kilobytes: number; mayBeLate: boolean },
   options: PlacementOptions,
   random: clock.Random,
 ): Placement | undefined {
--- a/packages/core/test/mesh-placement.test.ts
+++ b/packages/core/test/mesh-placement.test.ts
@@ -72,7 +72,7 @@
     const choice = mesh.choosePlacement(
       candidates,
       new Set(),
-      { responseKilobytes: kilobytes, mayBeLate: false },
+      { kilobytes, mayBeLate: false },
       mesh.placementDefaults,
       random,
     );
@@ -197,7 +197,7 @@
     const choice = mesh.choosePlacement(
       [createCandidate('a'), createCandidate('b')],
       new Set(['a']),
-      { responseKilobytes: 0, mayBeLate: false },
+      { kilobytes: 0, mayBeLate: false },
       mesh.placementDefaults,
       createSequence(),
     );
@@ -218,7 +218,7 @@
             : candidate,
         ),
         new Set(),
-        { responseKilobytes: 0, mayBeLate },
+        { kilobytes: 0, mayBeLate },
         mesh.placementDefaults,
         createSequence(),
       )?.hostId;
@@ -255,7 +255,7 @@
       createCandidate('limited', { load: limited }),
       createCandidate('free', { load: createLoad({ serviceMs: 100, running: 5 }) }),
     ];
-    const call = { responseKilobytes: 0, mayBeLate: false };
+    const call = { kilobytes: 0, mayBeLate: false };
     const choose = (tried: ReadonlySet<string>): string | undefined =>
       mesh.choosePlacement(candidates, tried, call, mesh.placementDefaults, () => 0.5)?.hostId;
     assert.equal(choose(new Set()), 'free');
--- a/packages/core/test/overload-simulation.ts
+++ b/packages/core/test/overload-simulation.ts
@@ -209,7 +209,7 @@
       const placement = mesh.choosePlacement(
         candidates,
         tried,
-        { responseKilobytes: 1.5, mayBeLate },
+        { kilobytes: 1.5, mayBeLate },
         mesh.placementDefaults,
         random,
       );
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -11,6 +11,7 @@
 import type * as peerClient from './peer-client.js';
 import type * as localTarget from './local-target.js';
 import type * as targetTable from './target-table.js';
+import * as requestBodies from './request-body.js';
 import type * as types from './types.js';
 
 /** A call as received from the caller. */
@@ -22,7 +23,7 @@
   method: string;
   path: string;
   headers: string[];
-  body: Buffer;
+  body: requestBodies.RequestBody;
   /** True if the target on this host makes this call as part of another call that it is running. */
   isNested: boolean;
   /** Monotonic times in milliseconds. */
@@ -120,6 +121,8 @@
       rejectedCalls.take(key, call.deadlineAt)?.firstReceivedAt ?? call.receivedAt;
     const objectiveAt = Math.min(effectiveDeadlineAt, firstReceivedAt + route.objectiveMs);
     let wasLateAllowed = false;
+    /** True once a streamed body has been handed to an attempt; it cannot be sent again. */
+    let isBodyConsumed = false;
     let deniedRetries = 0;
     const takeRetry = (): boolean => {
       const isAllowed = retryBudget.takeRetry();
@@ -226,7 +229,9 @@
         await eventLoop.waitForSocketPoll();
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- a disconnect cancels attempts
         if (!responder.isConnected()) handleDisconnect();
-        return attempts.has(attemptNumber) ? call.body : undefined;
+        if (!attempts.has(attemptNumber) || isBodyConsumed) return undefined;
+        isBodyConsumed = !Buffer.isBuffer(call.body);
+        return call.body;
       },
       onHostResponded: () => targets.recordResponse(hostId),
       onUnacknowledged() {
@@ -282,12 +287,14 @@
       wasLateAllowed = mayBeLate;
       const remainingMs = effectiveDeadlineAt - clock.monotonic();
       const meanMs = hedgeDelayEstimator.getMeanMs(route.name) ?? 0;
-      if (remainingMs < meanMs * constants.MIN_REMAINING_SHARE) {
+      if (isBodyConsumed || remainingMs < meanMs * constants.MIN_REMAINING_SHARE) {
         handleEvent({ type: 'no-target' });
         return;
       }
       const placement = targets.chooseTarget(service, triedHosts, {
-        responseKilobytes: responseSizes.getMeanBytes(route.name) / mesh.BYTES_PER_KILOBYTE,
+        kilobytes:
+          (responseSizes.getMeanBytes(route.name) + (requestBodies.measureBody(call.body) ?? 0)) /
+          mesh.BYTES_PER_KILOBYTE,
         mayBeLate,
       });
       const endpoint = placement && targets.getEndpoint(placement.hostId);
@@ -310,6 +317,9 @@
         path: call.path,
         headers: call.headers,
         isRepeatable: route.isRepeatable,
+        streamedBody: Buffer.isBuffer(call.body)
+          ? undefined
+          : { lengthBytes: call.body.lengthBytes },
         mayBeLate,
         rank: call.isNested ? NESTED_CALL_RANK : route.rank,
         objectiveAt,
--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -2,12 +2,13 @@
 import type * as net from 'node:net';
 import type * as mesh from '@figshed/core/mesh';
 import * as upstreamResponse from './upstream-response.js';
-import * as bodyReader from './body-reader.js';
+import type * as bodyReader from './body-reader.js';
 import type * as callRunner from './call-runner.js';
 import * as constants from './constants.js';
 import type * as context from './context.js';
 import * as errors from './errors.js';
 import * as meshHeaders from './mesh-headers.js';
+import * as requestBodies from './request-body.js';
 
 /** HTTP server for the callers on this host. */
 export interface CallerServer {
@@ -124,7 +125,8 @@
       'Content-Length',
       '0',
     ]);
-    response.end();
+    response.flushHeaders();
+    requestBodies.endAfterBody(response.req, response);
   };
 
   const createResponder = (
@@ -140,7 +142,8 @@
         'Content-Length',
         String(buffered.body.length),
       ]);
-      response.end(buffered.body);
+      response.write(buffered.body);
+      requestBodies.endAfterBody(response.req, response);
     },
     stream(upstream, receivedChunks) {
       upstreamResponse.streamResponse(upstream, response, {
@@ -210,7 +213,6 @@
     const callId = request.headers[protocol.callIdHeader];
     const route = findRoute(request);
     if (typeof callId !== 'string' || typeof route === 'number') {
-      request.resume();
       const status = typeof route === 'number' ? route : constants.HTTP.badRequest;
       log.info('call-refused', {
         call: typeof callId === 'string' ? callId : undefined,
@@ -231,12 +233,14 @@
       sendEmptyResponse(response, connection, constants.HTTP.unavailable);
     };
     if (isClosed) {
-      request.resume();
       rejectAfterClose();
       return;
     }
-    bodyReader
-      .readBody(request, byteBudget, maxBodyBytes)
+    requestBodies
+      .receiveBody(request, byteBudget, {
+        mayStream: !route.isRepeatable,
+        maxBytes: maxBodyBytes,
+      })
       .then((body) => {
         if (isClosed) {
           rejectAfterClose();
@@ -282,6 +286,12 @@
   server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
     const socket = stream as net.Socket;
     const connection = connections.get(socket);
+    const [pending] = connection?.pendingResponses.keys() ?? [];
+    if (pending && connection?.pendingResponses.size === 1 && !pending.req.complete) {
+      // The body of the only pending call can no longer arrive.
+      socket.destroy();
+      return;
+    }
     if (connection && connection.pendingResponses.size > 0) {
       connection.hasInvalidRequest = true;
       return;
@@ -300,7 +310,7 @@
       });
     },
     setLimits(limits) {
-      maxBodyBytes = Math.min(limits.maxBodyBytes, constants.MAX_BUFFERED_BYTES);
+      maxBodyBytes = limits.maxBodyBytes;
       server.headersTimeout = limits.headerTimeoutMs;
       server.keepAliveTimeout = limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS;
     },
--- a/packages/proxy/src/mesh/constants.ts
+++ b/packages/proxy/src/mesh/constants.ts
@@ -32,6 +32,15 @@
  * Larger responses are streamed instead of buffered; twice the size of the largest usual download.
  */
 export const MAX_BUFFERED_RESPONSE_BYTES = 1_048_576;
+/**
+ * Larger request bodies of calls that are not repeatable are streamed; buffered ones can be sent again
+ * to another target.
+ */
+export const MAX_BUFFERED_REQUEST_BYTES = 262_144;
+/** Bytes of a request body that are read after its response, so that the connection ends cleanly. */
+export const MAX_DRAINED_BYTES = 1_048_576;
+/** Longest pause of the sender of a streamed body, and longest time to drain an unread one. */
+export const BODY_STALL_TIMEOUT_MS = 2_000;
 /** Bytes of bodies and responses being buffered at once; a fifth of the smallest host's memory. */
 export const MAX_BUFFERED_BYTES = 50_331_648;
 export const PEER_CLIENT_IDLE_TIMEOUT_MS = 20_000;
--- a/packages/proxy/src/mesh/errors.ts
+++ b/packages/proxy/src/mesh/errors.ts
@@ -13,6 +13,13 @@
   }
 }
 
+/** A sender neither continued its body nor disconnected. */
+export class BodyStalledError extends core.FigshedError {
+  public constructor(timeoutMs: number) {
+    super('BODY_STALLED', `no byte of the body arrived for ${timeoutMs} ms`);
+  }
+}
+
 export class IncompleteBodyError extends core.FigshedError {
   public constructor() {
     super('CALLER_GONE', 'connection closed before the end of the body');
--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -6,6 +6,7 @@
 import type * as context from './context.js';
 import * as keepAliveAgent from './keep-alive-agent.js';
 import * as meshHeaders from './mesh-headers.js';
+import * as requestBodies from './request-body.js';
 import * as responseBytes from './response-bytes.js';
 import * as targetRequest from './target-request.js';
 import type * as types from './types.js';
@@ -241,7 +242,7 @@
     });
   };
 
-  const send = (key: string, entry: LocalAttempt, body: Buffer): void => {
+  const send = (key: string, entry: LocalAttempt, body: requestBodies.RequestBody): void => {
     const target = gate.getOpenTarget();
     const now = clock.monotonic();
     const remainingMs = Math.floor(entry.attempt.deadlineAt - now);
@@ -257,7 +258,11 @@
     let isConnected = false;
     entry.target = target;
     entry.sentAt = now;
-    const request = createRequest(attempt, { target, bodyBytes: body.length, remainingMs });
+    const request = createRequest(attempt, {
+      target,
+      bodyBytes: requestBodies.measureBody(body),
+      remainingMs,
+    });
     entry.request = request;
     const overrunTimer = setTimeout(() => {
       request.destroy(new Error('deadline-overrun'));
@@ -291,7 +296,7 @@
       markTargetDown(target, error.message);
       refuseStarted(key, 'target-down');
     });
-    request.end(body);
+    requestBodies.writeBody(body, request);
   };
 
   const startAttempt = (key: string, waitedMs: number): void => {
--- a/packages/proxy/src/mesh/mesh-headers.ts
+++ b/packages/proxy/src/mesh/mesh-headers.ts
@@ -22,6 +22,8 @@
   rank: number;
   objectiveMs: number;
   deadlineMs: number;
+  /** Present if the body is streamed; its length if that is stated. */
+  streamedBody?: { lengthBytes?: number | undefined } | undefined;
 }
 
 /**
--- a/packages/proxy/src/mesh/peer-client.ts
+++ b/packages/proxy/src/mesh/peer-client.ts
@@ -7,6 +7,7 @@
 import type * as context from './context.js';
 import * as keepAliveAgent from './keep-alive-agent.js';
 import * as meshHeaders from './mesh-headers.js';
+import * as requestBodies from './request-body.js';
 import type * as types from './types.js';
 
 /** Callbacks of an attempt at another host. */
@@ -94,6 +95,7 @@
           rank: attempt.rank,
           objectiveMs: Math.round(attempt.objectiveAt - now),
           deadlineMs: Math.round(attempt.deadlineAt - now),
+          streamedBody: attempt.streamedBody,
         }),
         ...(attempt.isRepeatable ? [] : ['Expect', '100-continue', 'Transfer-Encoding', 'chunked']),
       ],
@@ -153,7 +155,7 @@
             return;
           }
           isBodySent = true;
-          request.end(body);
+          requestBodies.writeBody(body, request);
         })
         .catch((error: Error) => fail(error.message));
     };
@@ -181,8 +183,8 @@
       if (refusal || brokenCause !== undefined) {
         message.resume();
         if (!markEnded()) return;
-        // The body is never sent, so the request cannot complete and its connection cannot be reused.
-        if (!isBodySent) request.destroy();
+        // Without its whole body, the request cannot complete and its connection cannot be reused.
+        if (!request.writableFinished) request.destroy();
         if (refusal) handler.onRefused(refusal.reason, refusal.retryAfterMs);
         else handler.onBroken(brokenCause ?? '');
         return;
--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -10,6 +10,7 @@
 import type * as context from './context.js';
 import * as eventLoop from '../event-loop.js';
 import * as meshHeaders from './mesh-headers.js';
+import * as requestBodies from './request-body.js';
 import type * as localTarget from './local-target.js';
 import type * as types from './types.js';
 
@@ -113,7 +114,7 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
     route: string,
-    provideBody: () => Promise<Buffer | undefined>,
+    provideBody: types.AttemptHandler['provideBody'],
   ): types.AttemptHandler => ({
     provideBody,
     onResponse(upstream) {
@@ -182,9 +183,13 @@
     }, constants.ACKNOWLEDGEMENT_DELAY_MS);
     response.once('close', () => clearTimeout(acknowledgementTimer));
     let isPeerDisconnected = false;
-    const readLateBody = async (): Promise<Buffer | undefined> => {
+    const readLateBody = async (): Promise<requestBodies.RequestBody | undefined> => {
       clearTimeout(acknowledgementTimer);
       response.writeContinue();
+      if (metadata.streamedBody) {
+        const { lengthBytes } = metadata.streamedBody;
+        return { source: request, lengthBytes, maxBytes: Number.POSITIVE_INFINITY };
+      }
       const timeout = new AbortController();
       try {
         return await Promise.race([
@@ -195,7 +200,7 @@
         timeout.abort();
       }
     };
-    const provideBody = async (): Promise<Buffer | undefined> => {
+    const provideBody: types.AttemptHandler['provideBody'] = async () => {
       if (isPeerDisconnected) return undefined;
       const body = await (earlyBody ?? readLateBody()).catch(() => undefined);
       await eventLoop.waitForSocketPoll();
@@ -212,6 +217,7 @@
         path: request.url ?? '/',
         headers: meshHeaders.copyHeaders(request.rawHeaders, new Set()),
         isRepeatable: metadata.isRepeatable,
+        streamedBody: metadata.streamedBody && { lengthBytes: metadata.streamedBody.lengthBytes },
         mayBeLate: metadata.mayBeLate,
         rank: metadata.rank,
         objectiveAt: now + metadata.objectiveMs,
--- /dev/null
+++ b/packages/proxy/src/mesh/request-body.ts
@@ -0,0 +1,180 @@
+/**
+ * Request bodies. A body is buffered as long as it is small, so that its call can be sent to another
+ * target. A larger one of a call that is not repeatable is streamed: it is read only once a target can
+ * take it, at the rate at which the target reads, and is never held whole.
+ */
+import type * as http from 'node:http';
+import type * as stream from 'node:stream';
+import * as bodyReader from './body-reader.js';
+import * as constants from './constants.js';
+import * as errors from './errors.js';
+
+export interface StreamedBody {
+  source: stream.Readable;
+  /** Undefined for a body in chunks. */
+  lengthBytes: number | undefined;
+  maxBytes: number;
+}
+
+export type RequestBody = Buffer | StreamedBody;
+
+/**
+ * Returns the size of a body in bytes; undefined for a streamed one without a stated length.
+ *
+ * @example
+ * measureBody(Buffer.from('ab')); // 2
+ */
+export function measureBody(body: RequestBody): number | undefined {
+  return Buffer.isBuffer(body) ? body.length : body.lengthBytes;
+}
+
+/** Buffers a body without a stated length, or streams it once it is too large. */
+function receiveChunkedBody(
+  source: http.IncomingMessage,
+  byteBudget: bodyReader.ByteBudget,
+  maxBytes: number,
+): Promise<RequestBody> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    let reservedBytes = 0;
+    const settle = (): void => {
+      byteBudget.release(reservedBytes);
+      reservedBytes = 0;
+      source.removeAllListeners('data');
+      source.removeAllListeners('end');
+      source.removeAllListeners('close');
+    };
+    source.on('data', (chunk: Buffer) => {
+      chunks.push(chunk);
+      sizeBytes += chunk.length;
+      const isReserved = byteBudget.reserve(chunk.length);
+      if (isReserved) reservedBytes += chunk.length;
+      if (isReserved && sizeBytes <= constants.MAX_BUFFERED_REQUEST_BYTES) return;
+      settle();
+      source.pause();
+      source.unshift(Buffer.concat(chunks, sizeBytes));
+      resolve({ source, lengthBytes: undefined, maxBytes });
+    });
+    source.once('end', () => {
+      settle();
+      resolve(Buffer.concat(chunks, sizeBytes));
+    });
+    source.once('close', () => {
+      settle();
+      reject(new errors.IncompleteBodyError());
+    });
+  });
+}
+
+/**
+ * Receives the body of a call; only that of a call that is not repeatable may be streamed.
+ *
+ * @throws BodyTooLargeError, ByteBudgetExceededError and IncompleteBodyError, as `readBody` does.
+ * @example
+ * const body = await receiveBody(request, byteBudget, { mayStream: true, maxBytes: 10_000_000 });
+ */
+export async function receiveBody(
+  source: http.IncomingMessage,
+  byteBudget: bodyReader.ByteBudget,
+  { mayStream, maxBytes }: { mayStream: boolean; maxBytes: number },
+): Promise<RequestBody> {
+  const statedLength = source.headers['content-length'];
+  const lengthBytes = statedLength === undefined ? undefined : Number(statedLength);
+  if (mayStream && lengthBytes === undefined && source.headers['transfer-encoding'] !== undefined)
+    return receiveChunkedBody(source, byteBudget, maxBytes);
+  const isLarge = lengthBytes !== undefined && lengthBytes > constants.MAX_BUFFERED_REQUEST_BYTES;
+  if (!mayStream || !isLarge)
+    return bodyReader.readBody(
+      source,
+      byteBudget,
+      Math.min(maxBytes, constants.MAX_BUFFERED_BYTES),
+    );
+  if (lengthBytes > maxBytes) throw new errors.BodyTooLargeError(maxBytes);
+  return { source, lengthBytes, maxBytes };
+}
+
+/** Pipes a body; destroys the request if the source fails, stalls or exceeds its limit. */
+function pipeBody({ source, maxBytes }: StreamedBody, request: http.ClientRequest): void {
+  let sizeBytes = 0;
+  let stallTimer: NodeJS.Timeout | undefined;
+  const fail = (error: Error): void => {
+    if (!request.destroyed) request.destroy(error);
+  };
+  const watchStall = (): void => {
+    clearTimeout(stallTimer);
+    stallTimer = setTimeout(() => {
+      // While the receiver does not read, the source has nothing to send.
+      if (request.writableNeedDrain) watchStall();
+      else fail(new errors.BodyStalledError(constants.BODY_STALL_TIMEOUT_MS));
+    }, constants.BODY_STALL_TIMEOUT_MS);
+  };
+  const countBytes = (chunk: Buffer): void => {
+    watchStall();
+    sizeBytes += chunk.length;
+    if (sizeBytes > maxBytes) fail(new errors.BodyTooLargeError(maxBytes));
+  };
+  const handleSourceClose = (): void => {
+    if (!source.readableEnded) fail(new errors.IncompleteBodyError());
+  };
+  const stop = (): void => {
+    clearTimeout(stallTimer);
+    source.unpipe(request);
+    source.off('data', countBytes);
+    source.off('close', handleSourceClose);
+  };
+  source.on('data', countBytes);
+  source.once('end', () => clearTimeout(stallTimer));
+  source.once('close', handleSourceClose);
+  request.once('close', stop);
+  watchStall();
+  source.pipe(request);
+}
+
+/**
+ * Writes a body and ends the request. If its response ends before the body does, the connection is
+ * closed, since its receiver still expects the rest of the body.
+ *
+ * @example
+ * writeBody(body, request);
+ */
+export function writeBody(body: RequestBody, request: http.ClientRequest): void {
+  if (Buffer.isBuffer(body)) {
+    request.end(body);
+    return;
+  }
+  request.once('response', (message) => {
+    message.once('end', () => {
+      if (!request.writableFinished) request.destroy();
+    });
+  });
+  if (body.source.destroyed) request.destroy(new errors.IncompleteBodyError());
+  else pipeBody(body, request);
+}
+
+/**
+ * Ends a response whose request body has not been read: the caller gets the response at once, and the
+ * connection ends in a clean state only after the rest of the body. A caller that sends more than
+ * MAX_DRAINED_BYTES or for more than BODY_STALL_TIMEOUT_MS is disconnected.
+ *
+ * @example
+ * endAfterBody(request, response);
+ */
+export function endAfterBody(request: http.IncomingMessage, response: http.ServerResponse): void {
+  if (request.complete || request.destroyed) {
+    response.end();
+    return;
+  }
+  let drainedBytes = 0;
+  const timer = setTimeout(() => request.destroy(), constants.BODY_STALL_TIMEOUT_MS);
+  request.on('data', (chunk: Buffer) => {
+    drainedBytes += chunk.length;
+    if (drainedBytes > constants.MAX_DRAINED_BYTES) request.destroy();
+  });
+  request.once('close', () => clearTimeout(timer));
+  request.once('end', () => {
+    clearTimeout(timer);
+    response.end();
+  });
+  request.resume();
+}
--- a/packages/proxy/src/mesh/target-request.ts
+++ b/packages/proxy/src/mesh/target-request.ts
@@ -9,8 +9,8 @@
   attempt: types.Attempt,
   options: {
     target: mesh.OpenTarget;
-    /** Length of the body that will be written. */
-    bodyBytes: number;
+    /** Length of the body that will be written; undefined if it is unknown. */
+    bodyBytes: number | undefined;
     /** Time that the target may take, in milliseconds. */
     remainingMs: number;
   },
@@ -36,7 +36,11 @@
   ]);
 
   return (attempt, { target, bodyBytes, remainingMs }) => {
-    const hasBody = bodyBytes > 0 || (attempt.method !== 'GET' && attempt.method !== 'HEAD');
+    const mayHaveBody = attempt.method !== 'GET' && attempt.method !== 'HEAD';
+    const framing =
+      bodyBytes === undefined
+        ? ['Transfer-Encoding', 'chunked']
+        : ['Content-Length', String(bodyBytes)];
     return http.request({
       agent,
       host: endpoint.address,
@@ -49,7 +53,7 @@
         String(remainingMs),
         protocol.expectedInstanceHeader,
         target.id,
-        ...(hasBody ? ['Content-Length', String(bodyBytes)] : []),
+        ...(bodyBytes === 0 && !mayHaveBody ? [] : framing),
       ],
     });
   };
--- a/packages/proxy/src/mesh/target-table.ts
+++ b/packages/proxy/src/mesh/target-table.ts
@@ -10,7 +10,7 @@
   chooseTarget(
     service: string,
     triedHosts: ReadonlySet<string>,
-    call: { responseKilobytes: number; mayBeLate: boolean },
+    call: { kilobytes: number; mayBeLate: boolean },
   ): mesh.Placement | undefined;
   /** Returns whether an untried target has a free slot according to its last load report. */
   hasFreeSlot(service: string, triedHosts: ReadonlySet<string>): boolean;
--- a/packages/proxy/src/mesh/types.ts
+++ b/packages/proxy/src/mesh/types.ts
@@ -2,6 +2,7 @@
 import type * as mesh from '@figshed/core/mesh';
 import type * as core from '@figshed/core';
 import type * as configurationCodec from './configuration-codec.js';
+import type * as requestBody from './request-body.js';
 import type * as upstreamResponse from './upstream-response.js';
 
 /** Configuration that was fetched from a peer; `bytes` is the size of the response's body. */
@@ -99,6 +100,8 @@
   /** Alternating names and values, without hop-by-hop headers. */
   headers: string[];
   isRepeatable: boolean;
+  /** Size of a body that is streamed instead of buffered, if its length is stated. */
+  streamedBody: { lengthBytes: number | undefined } | undefined;
   /**
    * Priority; lower is more urgent. The ranks of routes start at 0; nested calls, which the target
    * makes while it runs another call, have a negative rank.
@@ -117,7 +120,7 @@
    * Resolves to the body, or undefined if the attempt was cancelled or the body could not be read.
    * Called once a slot is free; for a repeatable attempt at another host, at once.
    */
-  provideBody(): Promise<Buffer | undefined>;
+  provideBody(): Promise<requestBody.RequestBody | undefined>;
   onResponse(upstream: upstreamResponse.UpstreamResponse): void;
   onRefused(reason: mesh.RefusalReason, retryAfterMs: number): void;
   onBroken(cause: string): void;
--- a/packages/stand-ins/src/mesh/mesh-config.ts
+++ b/packages/stand-ins/src/mesh/mesh-config.ts
@@ -10,6 +10,7 @@
   timeoutMs?: number;
   targetLatencyMs?: number;
   maxAttempts?: number;
+  maxBodyBytes?: number;
 }
 
 /**
@@ -55,7 +56,7 @@
     })),
     limits: {
       maxHeaderBytes: 16_384,
-      maxBodyBytes: 1_000_000,
+      maxBodyBytes: options.maxBodyBytes ?? 1_000_000,
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 15_000,
     },
