Targets that never respond: hedge without a fresh report, hold the slots of cancelled calls

Cause: a process did not know the load of the target on its own host, since load reports come with responses of peers. It placed calls there as if it were idle, and never counted it as free for a hedge.

Change: placement reads the own target's load directly. An overdue call is hedged at a later check, when reported load has decayed. An attempt that ends without a byte is logged as target-silent; a target that responded to others meanwhile has the slots of its cancelled calls held for 1.25 times its usual service time.

--- a/packages/core/src/mesh/placement.ts
+++ b/packages/core/src/mesh/placement.ts
@@ -116,16 +116,23 @@
 }
 
 /**
- * Returns whether a recent load report of the candidate shows a free slot.
+ * Returns whether a recent load report of the candidate shows a free slot. With `mayGuess`, the
+ * reported load decays with its age, and no report counts as no load.
  *
  * @example
  * candidates.some((candidate) => hasFreeSlot(candidate, placementDefaults));
  */
-export function hasFreeSlot(candidate: PlacementCandidate, options: PlacementOptions): boolean {
-  const { load, loadAgeMs, slots, openCalls } = candidate;
-  if (!load || loadAgeMs > options.loadHalfLifeMs) return false;
-  if (load.startDelayMs > 0) return false;
-  return Math.max(load.running + load.waiting + load.late, openCalls) < slots;
+export function hasFreeSlot(
+  candidate: PlacementCandidate,
+  options: PlacementOptions,
+  mayGuess = false,
+): boolean {
+  const { load = emptyLoad, loadAgeMs, slots, openCalls } = candidate;
+  const isRecent = candidate.load !== undefined && loadAgeMs <= options.loadHalfLifeMs;
+  if (!isRecent && !mayGuess) return false;
+  if (isRecent && load.startDelayMs > 0) return false;
+  const weight = mayGuess ? 0.5 ** (loadAgeMs / options.loadHalfLifeMs) : 1;
+  return Math.max((load.running + load.waiting + load.late) * weight, openCalls) < slots;
 }
 
 /**
--- a/packages/core/test/mesh-placement.test.ts
+++ b/packages/core/test/mesh-placement.test.ts
@@ -246,6 +246,8 @@
     assert.equal(isFree({ load: createLoad({ running: 9, late: 1 }) }), false);
     assert.equal(isFree({ load: createLoad({ running: 1 }), openCalls: 10 }), false);
     assert.equal(isFree({ load: undefined }), false);
+    const unknown = createCandidate('a', { load: undefined });
+    assert.equal(mesh.hasFreeSlot(unknown, mesh.placementDefaults, true), true);
     assert.equal(isFree({ loadAgeMs: 10 * mesh.placementDefaults.loadHalfLifeMs }), false);
   });
 
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -274,11 +274,12 @@
       clearTimeout(hedgeTimer);
       const hedgeAfterMs = hedgeDelayEstimator.computeHedgeDelayMs(route.name);
       if (!route.isRepeatable || attempts.count() !== 1 || hedgeAfterMs === undefined) return;
-      if (clock.monotonic() + hedgeAfterMs >= effectiveDeadlineAt) return;
-      hedgeTimer = setTimeout(() => {
+      const hedgeOrWait = (mayGuess: boolean): void => {
         // With all targets busy, the delay is queueing delay; a hedged request would queue as well.
-        if (targets.hasFreeSlot(service, triedHosts)) handleEvent({ type: 'overdue' });
-      }, hedgeAfterMs);
+        if (targets.hasFreeSlot(service, triedHosts, mayGuess)) handleEvent({ type: 'overdue' });
+        else hedgeTimer = setTimeout(hedgeOrWait, hedgeAfterMs, true);
+      };
+      hedgeTimer = setTimeout(hedgeOrWait, hedgeAfterMs, false);
     };
 
     const sendAttempt = (mayBeLate: boolean): void => {
--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -33,6 +33,12 @@
 
 /** Weight of the newest attempt in the exponential moving average of failures. */
 const FAILURE_SMOOTHING_FACTOR = 0.1;
+/** Multiple of the mean service time after which an attempt without a response is logged. */
+const SILENCE_FACTOR = 4;
+/** Multiple after which the target may have left an attempt without a response. */
+const OVERDUE_FACTOR = 2;
+/** Multiple of the mean service time for which the slot of a cancelled call may be held. */
+const HELD_SLOT_FACTOR = 1.25;
 /** Separates a call's ID from the suffix that a target appends for its nested calls. */
 const ID_SEPARATOR = /[^0-9A-Za-z]/;
 /** Idle time-out of connections to the target; less than half of the targets' own time-out. */
@@ -47,6 +53,9 @@
   target: mesh.OpenTarget | undefined;
   receivedAt: number;
   sentAt: number;
+  hasResponse: boolean;
+  /** Responses of the target before this attempt was sent. */
+  responsesBefore: number;
   isCancelled: boolean;
 }
 
@@ -73,6 +82,9 @@
   const createRequest = targetRequest.createTargetRequestFactory({ protocol, agent, endpoint });
   const openAttempts = new Map<string, LocalAttempt>();
   let failureShare = 0;
+  let responses = 0;
+  /** The last target that left a call without a response while it responded to others. */
+  let silentTarget: mesh.OpenTarget | undefined;
   let lastKey = 0;
   let wasAnnouncedCold = false;
   let checkTimer: NodeJS.Timeout | undefined;
@@ -118,9 +130,43 @@
     applyEffects(queue.release(key, serviceMs, clock.monotonic()));
   };
 
-  const releaseAbandonedSlot = (key: string, { sentAt }: LocalAttempt): void => {
+  /**
+   * Records an attempt that ends without a response, although the target usually responds sooner, and
+   * notes the target if it has responded to others meanwhile.
+   */
+  const recordSilence = (entry: LocalAttempt): void => {
     const now = clock.monotonic();
-    applyEffects(queue.releaseCancelled(key, now - sentAt, now));
+    const ranMs = now - entry.sentAt;
+    const usualMs = queue.getLoad(now).serviceMs;
+    const responsesMeanwhile = responses - entry.responsesBefore;
+    if (entry.hasResponse || ranMs < usualMs * OVERDUE_FACTOR) return;
+    if (responsesMeanwhile >= (entry.target?.slots ?? 1)) silentTarget = entry.target;
+    if (ranMs < usualMs * SILENCE_FACTOR) return;
+    metrics.count('target_silences_total');
+    log.warn('target-silent', {
+      call: entry.attempt.callId,
+      target: entry.target?.id,
+      ranMs: Math.round(ranMs),
+      usualMs: Math.round(usualMs),
+      responsesMeanwhile,
+    });
+  };
+
+  /**
+   * Frees the slot of an attempt that was cancelled. A target that never responds to calls beyond its
+   * slots may run it to its end, so the slot of such a target is held for about that long.
+   */
+  const releaseAbandonedSlot = (key: string, { sentAt, attempt, target }: LocalAttempt): void => {
+    const release = (): void => {
+      const now = clock.monotonic();
+      applyEffects(queue.releaseCancelled(key, now - sentAt, now));
+    };
+    const usualMs = queue.getLoad(sentAt).serviceMs;
+    const remainingMs =
+      Math.min(attempt.deadlineAt, sentAt + usualMs * HELD_SLOT_FACTOR) - clock.monotonic();
+    const mayStillRun = target !== undefined && target.id === silentTarget?.id;
+    if (mayStillRun && remainingMs > 0) setTimeout(release, remainingMs).unref();
+    else release();
   };
 
   const failAttempt = (key: string, cause: string): void => {
@@ -130,6 +176,7 @@
     updateFailureShare(true);
     metrics.count('attempts_broken_total');
     log.warn('attempt-broken', { call: entry.attempt.callId, cause, target: entry.target?.id });
+    recordSilence(entry);
     entry.handler.onBroken(cause);
     releaseAbandonedSlot(key, entry);
   };
@@ -192,6 +239,8 @@
       message.destroy();
       return;
     }
+    responses += 1;
+    entry.hasResponse = true;
     const { target } = entry;
     const { headers } = message;
     const isMisdirected = status === constants.HTTP.misdirected;
@@ -258,6 +307,7 @@
     let isConnected = false;
     entry.target = target;
     entry.sentAt = now;
+    entry.responsesBefore = responses;
     const request = createRequest(attempt, {
       target,
       bodyBytes: requestBodies.measureBody(body),
@@ -342,6 +392,7 @@
     if (!entry.attempt.isRepeatable) return false;
     openAttempts.delete(key);
     entry.request.destroy();
+    recordSilence(entry);
     releaseAbandonedSlot(key, entry);
     return false;
   };
@@ -358,6 +409,8 @@
         target: undefined,
         receivedAt: now,
         sentAt: now,
+        hasResponse: false,
+        responsesBefore: 0,
         isCancelled: false,
       });
       const target = gate.getOpenTarget();
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -54,7 +54,8 @@
   let hasAnnouncedReady = false;
 
   const stallMonitor = stallMonitors.createStallMonitor(ctx);
-  const targets = targetTable.createTargetTable(ctx);
+  // eslint-disable-next-line @typescript-eslint/no-use-before-define -- tasks depend on one another
+  const targets = targetTable.createTargetTable(ctx, () => target.getLoad());
   const peers = peerClient.createPeerClient(ctx);
 
   const history = mesh.createConfigHistory(mesh.configHistoryDefaults);
--- a/packages/proxy/src/mesh/target-table.ts
+++ b/packages/proxy/src/mesh/target-table.ts
@@ -12,8 +12,11 @@
     triedHosts: ReadonlySet<string>,
     call: { kilobytes: number; mayBeLate: boolean },
   ): mesh.Placement | undefined;
-  /** Returns whether an untried target has a free slot according to its last load report. */
-  hasFreeSlot(service: string, triedHosts: ReadonlySet<string>): boolean;
+  /**
+   * Returns whether an untried target has a free slot according to its last load report;
+   * with `mayGuess`, of older reports as well.
+   */
+  hasFreeSlot(service: string, triedHosts: ReadonlySet<string>, mayGuess: boolean): boolean;
   recordLoad(hostId: string, load: mesh.TargetLoad): void;
   recordAttemptStart(hostId: string): void;
   recordAttemptEnd(hostId: string): void;
@@ -50,12 +53,16 @@
 };
 
 /**
- * Creates an empty table.
+ * Creates an empty table. `getOwnLoad` returns the current load of the target on this host, which
+ * needs no reports.
  *
  * @example
- * const targets = createTargetTable(ctx);
+ * const targets = createTargetTable(ctx, () => target.getLoad());
  */
-export function createTargetTable(ctx: context.MeshContext): TargetTable {
+export function createTargetTable(
+  ctx: context.MeshContext,
+  getOwnLoad: () => mesh.SlotLoad & Pick<mesh.TargetLoad, 'failureShare'>,
+): TargetTable {
   const { settings, clock, random, log } = ctx;
   const entries = new Map<string, TargetEntry>();
 
@@ -75,15 +82,19 @@
   const listCallable = (service: string): TargetEntry[] =>
     [...entries.values()].filter((entry) => isCallable(entry, service));
 
-  const describeCandidate = (entry: TargetEntry, now: number): mesh.PlacementCandidate => ({
-    hostId: entry.member.id,
-    locality: computeLocality(entry.member),
-    slots: entry.member.info.target?.slots ?? 1,
-    openCalls: entry.openCalls,
-    load: entry.load,
-    loadAgeMs: now - entry.loadReceivedAt,
-    isCold: entry.member.info.target?.isCold === true,
-  });
+  const describeCandidate = (entry: TargetEntry, now: number): mesh.PlacementCandidate => {
+    const { id, info } = entry.member;
+    const isOwn = id === settings.id;
+    return {
+      hostId: id,
+      locality: computeLocality(entry.member),
+      slots: info.target?.slots ?? 1,
+      openCalls: entry.openCalls,
+      load: isOwn ? { ...getOwnLoad(), backlogMs: 0, kilobyteMs: 0 } : entry.load,
+      loadAgeMs: isOwn ? 0 : now - entry.loadReceivedAt,
+      isCold: info.target?.isCold === true,
+    };
+  };
 
   return {
     setMember(member) {
@@ -121,13 +132,13 @@
       if (placement) entries.get(placement.hostId)?.circuitBreaker.recordSent(now);
       return placement;
     },
-    hasFreeSlot(service, triedHosts) {
+    hasFreeSlot(service, triedHosts, mayGuess) {
       const now = clock.monotonic();
       return listCallable(service).some(
         (entry) =>
           !triedHosts.has(entry.member.id) &&
           entry.circuitBreaker.mayCall(now) &&
-          mesh.hasFreeSlot(describeCandidate(entry, now), mesh.placementDefaults),
+          mesh.hasFreeSlot(describeCandidate(entry, now), mesh.placementDefaults, mayGuess),
       );
     },
     recordLoad(hostId, load) {
--- a/packages/stand-ins/src/mesh/mesh-target.ts
+++ b/packages/stand-ins/src/mesh/mesh-target.ts
@@ -45,6 +45,13 @@
   faults: TargetFaults;
   /** Takes over all calls that arrive while it is set. */
   rawResponder: rawResponses.RawResponder | undefined;
+  /**
+   * Never responds to a call beyond its slots, nor to any later one on that connection, instead of
+   * rejecting it.
+   */
+  isSilentWhenFull: boolean;
+  /** Number of requests that never get a response. */
+  silentRequests: number;
   /** Headers of all its responses, in which it states a rate limit or that it is leaving. */
   noticeHeaders: Record<string, string>;
   serviceMs: number;
@@ -96,6 +103,7 @@
   const { id, service, address, port, slots, announcements, random } = options;
   const bornAt = Date.now();
   const sockets = new Set<net.Socket>();
+  const silentSockets = new WeakSet<net.Socket>();
   let runningCalls = 0;
   let sequence = 0;
   let heartbeatTimer: NodeJS.Timeout | undefined;
@@ -114,6 +122,8 @@
       errorResponseShare: 0,
     },
     rawResponder: undefined,
+    isSilentWhenFull: false,
+    silentRequests: 0,
     noticeHeaders: {},
     serviceMs: DEFAULT_SERVICE_MS,
     runs: [],
@@ -251,7 +261,13 @@
       });
       return;
     }
-    if (runningCalls >= slots) {
+    const isFull = runningCalls >= slots;
+    if (silentSockets.has(request.socket) || (isFull && target.isSilentWhenFull)) {
+      silentSockets.add(request.socket);
+      target.silentRequests += 1;
+      return;
+    }
+    if (isFull) {
       request.resume();
       response.writeHead(HTTP_UNAVAILABLE, refusalHeaders).end();
       return;
