Departed targets: a restarted process learns from its peers which target had left

Cause: the gate of a target is kept in memory. After a restart of the host's process, a heartbeat that arrived later than the deregistration opened the gate again and calls reached a target that had left.

Change: a host's gossip record names its last departed target. Peers exclude it for good, and send the record from before the restart back to the new process, which closes its gate.

--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -73,6 +73,8 @@
   const watermarks = new Map<string, types.ConfigWatermark>();
   const updateQueue = updates.createUpdateQueue();
   const relays = new Map<number, PingRelay>();
+  /** Records of members before their restart, until they know their departed target again. */
+  const previousRecords = new Map<string, types.Member>();
   let self: types.Member = {
     id: input.id,
     incarnation: input.incarnation,
@@ -97,8 +99,14 @@
     return updateQueue.take(options.maxPiggyback, maxSends, receiver);
   };
 
+  const updatePreviousRecord = (previous: types.Member, member: types.Member): void => {
+    if (member.info.departedTarget !== undefined) previousRecords.delete(member.id);
+    else if (previous.info.departedTarget !== undefined) previousRecords.set(member.id, previous);
+  };
+
   const storeMember = (member: types.Member, now: number): types.MembershipEffect[] => {
     const previous = members.get(member.id);
+    if (previous) updatePreviousRecord(previous, member);
     errors.assertInvariant(
       !previous || member.incarnation >= previous.incarnation,
       'incarnation-regress',
@@ -116,6 +124,9 @@
   };
 
   const refuteRecord = (record: types.Member, now: number): types.MembershipEffect[] => {
+    const { info } = record;
+    if (info.instance !== self.info.instance && info.departedTarget !== undefined)
+      return [{ type: 'self-recalled', info }];
     if (record.incarnation < self.incarnation || self.status === 'left') return [];
     if (record.incarnation === self.incarnation && record.status === 'alive') return [];
     return replaceSelf({ incarnation: record.incarnation + 1 }, now);
@@ -237,6 +248,7 @@
     if (isDeadOrLeft && ageMs >= options.forgetMs) {
       members.delete(member.id);
       watermarks.delete(member.id);
+      previousRecords.delete(member.id);
       changedAtById.delete(member.id);
     }
     return [];
@@ -270,7 +282,9 @@
       storedRecord &&
       (storedRecord.status !== 'alive' ||
         (sentRecord && sentRecord.incarnation < storedRecord.incarnation));
+    const previousRecord = previousRecords.get(receiver);
     const leadingRecords = [
+      ...(previousRecord ? [previousRecord] : []),
       ...(isContact || options.shouldIncludeSelf ? [self] : []),
       ...(shouldSendRecord ? [storedRecord] : []),
     ];
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -27,6 +27,8 @@
   /** False before the member has a configuration, and during its shutdown. */
   ready: boolean;
   target: TargetInfo | null;
+  /** Instance id of the last target of the member that has left; undefined if none has. */
+  departedTarget?: string | undefined;
 }
 
 /** Record of one member, disseminated by gossip. */
@@ -87,6 +89,8 @@
 export type MembershipEffect =
   | { type: 'send'; to: Endpoint; message: GossipMessage }
   | { type: 'member-changed'; member: Member; before: Member | undefined }
+  /** Another member has sent what it stored of this one before its restart. */
+  | { type: 'self-recalled'; info: MemberInfo }
   | {
       type: 'watermark-received';
       id: string;
--- a/packages/core/src/mesh/index.ts
+++ b/packages/core/src/mesh/index.ts
@@ -91,6 +91,7 @@
 export {
   createTargetGate,
   formatIncarnation,
+  parseIncarnation,
   type GateVerdict,
   type OpenTarget,
   type TargetAnnouncement,
--- a/packages/core/src/mesh/target-gate.ts
+++ b/packages/core/src/mesh/target-gate.ts
@@ -55,6 +55,8 @@
   markDown(id: string): boolean;
   /** Returns the open target; undefined while the gate is closed. */
   getOpenTarget(): OpenTarget | undefined;
+  /** Returns the incarnation that was closed last because it left; undefined before the first. */
+  getDeparted(): string | undefined;
   /** Returns the reason of the last closing; `target-down` before the first. */
   getClosedReason(): 'draining' | 'target-down';
 }
@@ -82,6 +84,18 @@
   return `${id}|${bornAt ?? ''}`;
 }
 
+/**
+ * Parses the text of `formatIncarnation`.
+ *
+ * @example
+ * parseIncarnation('i-1|1000'); // { id: 'i-1', bornAt: 1_000 }
+ */
+export function parseIncarnation(text: string): Incarnation {
+  const separatorAt = text.lastIndexOf('|');
+  const bornAt = text.slice(separatorAt + 1);
+  return { id: text.slice(0, separatorAt), bornAt: bornAt === '' ? undefined : Number(bornAt) };
+}
+
 function deleteOldestBeyondLimit(entries: Set<string> | Map<string, unknown>): void {
   if (entries.size > MAX_INCARNATIONS) entries.delete(entries.keys().next().value as string);
 }
@@ -95,6 +109,7 @@
  */
 export function createTargetGate(): TargetGate {
   const closedKeys = new Set<string>();
+  let departed: string | undefined;
   /** The incarnation of each id with the latest start that has been announced. */
   const lastIncarnations = new Map<string, Incarnation>();
   /** Monotonic times until which announcements of deregistered ids are ignored. */
@@ -106,6 +121,7 @@
   const closeIncarnation = (incarnation: Incarnation): GateVerdict => {
     const key = formatIncarnation(incarnation);
     closedKeys.add(key);
+    departed = key;
     deleteOldestBeyondLimit(closedKeys);
     if (!target) reason = 'draining';
     if (!target || formatIncarnation(target) !== key) return 'stale';
@@ -164,6 +180,7 @@
       return true;
     },
     getOpenTarget: () => target,
+    getDeparted: () => departed,
     getClosedReason: () => reason,
   };
 }
--- a/packages/proxy/src/gossip-schemas.ts
+++ b/packages/proxy/src/gossip-schemas.ts
@@ -24,6 +24,7 @@
     peerPort: z.number().int().positive().max(MAX_PORT),
     ready: z.boolean(),
     target: targetSchema.nullable(),
+    departedTarget: z.string().optional(),
   }),
 });
 
--- a/packages/proxy/src/mesh/gossip-codec.ts
+++ b/packages/proxy/src/mesh/gossip-codec.ts
@@ -31,15 +31,17 @@
 
 function packMember({ id, incarnation, status, info }: core.Member): Row {
   const { instance, dataCentre, region, address, callerPort, peerPort, ready, target } = info;
+  const departed = info.departedTarget === undefined ? [] : [info.departedTarget];
   const location = [instance, dataCentre, region, address, callerPort, peerPort];
-  return [id, incarnation, memberStatuses.indexOf(status), ...location, ready, packTarget(target)];
+  const state = [ready, packTarget(target), ...departed];
+  return [id, incarnation, memberStatuses.indexOf(status), ...location, ...state];
 }
 
 function unpackMember(row: Row): unknown {
   const [id, incarnation, status, instance, dataCentre, region, address, ...rest] = row;
-  const [callerPort, peerPort, ready, target] = rest;
+  const [callerPort, peerPort, ready, target, departedTarget] = rest;
   const location = { instance, dataCentre, region, address, callerPort, peerPort };
-  const info = { ...location, ready, target: unpackTarget(target as Row | null) };
+  const info = { ...location, ready, target: unpackTarget(target as Row | null), departedTarget };
   return { id, incarnation, status: memberStatuses[Number(status)], info };
 }
 
--- a/packages/proxy/src/mesh/gossip-members.ts
+++ b/packages/proxy/src/mesh/gossip-members.ts
@@ -28,6 +28,8 @@
   hostRegistry: types.HostRegistry;
   sourceEpoch: types.SourceEpoch;
   onChange: (member: core.Member, before: core.Member | undefined) => void;
+  /** Called with what another member stored of this one before its restart. */
+  onRecalled: (info: core.MemberInfo) => void;
   /**
    * Called with the configuration version that a member holds, and the milliseconds since it was
    * confirmed to be the newest.
@@ -75,7 +77,7 @@
  * const members = createMembers({ ctx, hostRegistry, sourceEpoch, onChange, onVersion });
  */
 export function createMembers(input: MembersInput): Members {
-  const { ctx, hostRegistry, sourceEpoch, onChange, onVersion } = input;
+  const { ctx, hostRegistry, sourceEpoch, onChange, onRecalled, onVersion } = input;
   const { settings, clock, log, metrics, random } = ctx;
   const socket = dgram.createSocket('udp4');
   const ownEndpoint: core.Endpoint = { address: settings.address, port: settings.peerPort };
@@ -134,7 +136,8 @@
       else if (effect.type === 'member-changed') {
         logChange(effect.member, effect.before);
         onChange(effect.member, effect.before);
-      } else {
+      } else if (effect.type === 'self-recalled') onRecalled(effect.info);
+      else {
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- renewal lists, which sends
         recordEpoch(effect.mark.epoch);
         const member = membership.getMember(effect.id);
--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -22,6 +22,10 @@
   applyAnnouncement(announcement: mesh.TargetAnnouncement): mesh.GateVerdict;
   /** Closes the gate for one incarnation of the target; without `bornAt`, for the last one of `id`. */
   deregister(id: string, bornAt: number | undefined): mesh.GateVerdict;
+  /** Closes the gate for the incarnation that peers remember to have left before a restart. */
+  recallDeparted(incarnation: string): void;
+  /** Returns the incarnation that left last; undefined before the first. */
+  getDeparted(): string | undefined;
   getLoad(): mesh.SlotLoad & Pick<mesh.TargetLoad, 'failureShare'>;
   getOpenTarget(): mesh.OpenTarget | undefined;
   isCold(): boolean;
@@ -81,6 +85,8 @@
   const agent = keepAliveAgent.createAgent(TARGET_IDLE_TIMEOUT_MS);
   const createRequest = targetRequest.createTargetRequestFactory({ protocol, agent, endpoint });
   const openAttempts = new Map<string, LocalAttempt>();
+  /** The departed incarnation that `onChange` has reported last. */
+  let announcedDeparted: string | undefined;
   let failureShare = 0;
   let responses = 0;
   /** The last target that left a call without a response while it responded to others. */
@@ -202,7 +208,9 @@
     const { id, bornAt, sequence } = message;
     log.info('target-gate', { target: id, verdict, cause, bornAt, sequence });
     if (verdict === 'closed') queue.drain().forEach((key) => refuse(key, 'draining'));
-    if (verdict !== 'stale') onChange();
+    const hasNewDeparted = gate.getDeparted() !== announcedDeparted;
+    announcedDeparted = gate.getDeparted();
+    if (verdict !== 'stale' || hasNewDeparted) onChange();
     return verdict;
   };
 
@@ -442,6 +450,13 @@
     },
     deregister: (id, bornAt) =>
       applyVerdict(gate.deregister(id, bornAt, clock.monotonic()), { id, bornAt }, 'deregistered'),
+    recallDeparted(incarnation) {
+      if (gate.getDeparted() === incarnation) return;
+      const { id, bornAt } = mesh.parseIncarnation(incarnation);
+      const verdict = gate.deregister(id, bornAt, clock.monotonic());
+      applyVerdict(verdict, { id, bornAt }, 'recalled');
+    },
+    getDeparted: () => gate.getDeparted(),
     getLoad: () => ({ ...queue.getLoad(clock.monotonic()), failureShare }),
     getOpenTarget: () => gate.getOpenTarget(),
     isCold,
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -100,6 +100,10 @@
     hostRegistry: adapter.hostRegistry,
     sourceEpoch: adapter.sourceEpoch,
     onChange: (member) => targets.setMember(member),
+    onRecalled({ departedTarget }) {
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- tasks depend on one another
+      if (departedTarget !== undefined) target.recallDeparted(departedTarget);
+    },
     onVersion: configuration.recordVersion,
   });
 
@@ -120,7 +124,12 @@
   const target = localTarget.createLocalTarget({
     ctx,
     endpoint: settings.target,
-    onChange: () => members.setInfo({ target: describeTarget() }),
+    onChange: () =>
+      members.setInfo({
+        target: describeTarget(),
+        // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
+        departedTarget: target.getDeparted(),
+      }),
   });
 
   const runner = callRunner.createCallRunner({
--- a/packages/proxy/src/mesh/target-table.ts
+++ b/packages/proxy/src/mesh/target-table.ts
@@ -111,7 +111,7 @@
         circuitBreaker: isSameProcess
           ? existing.circuitBreaker
           : core.createCircuitBreaker(circuitBreakerOptions),
-        leavingTarget: existing?.leavingTarget,
+        leavingTarget: member.info.departedTarget ?? existing?.leavingTarget,
       });
     },
     chooseTarget(service, triedHosts, call) {
--- a/packages/proxy/src/tasks/gossip-task.ts
+++ b/packages/proxy/src/tasks/gossip-task.ts
@@ -118,7 +118,7 @@
     effects.forEach((effect) => {
       if (effect.type === 'send') sendDatagram(effect.to, effect.message);
       else if (effect.type === 'watermark-received') bus.send('watermark-received', effect);
-      else {
+      else if (effect.type === 'member-changed') {
         logMemberChange(effect.member, effect.before);
         bus.send('member-changed', effect);
       }
--- a/packages/proxy/test/mesh-gossip-members.test.ts
+++ b/packages/proxy/test/mesh-gossip-members.test.ts
@@ -107,6 +107,7 @@
     },
     sourceEpoch: { get: () => undefined, onChange: () => undefined },
     onChange: () => undefined,
+    onRecalled: () => undefined,
     onVersion: () => undefined,
   });
   await members.start();
