Mesh: split the call runner and the local target, times of a call decided in core

Change: call times (core), the call's types, retry budgets, the gate of the local target, the classification of its responses and the silence monitor are modules of their own; behaviour is meant to be unchanged. One test of a leaving target waited for the gate to open after a restart; the gate now stays closed there, since peers return what left, so it waits for the announcement and then checks as before that the target gets no call. Result: eight process test files hold.

--- a/packages/core/src/mesh/index.ts
+++ b/packages/core/src/mesh/index.ts
@@ -8,6 +8,7 @@
   type HedgeDelayEstimator,
   type HedgeDelayOptions,
 } from './hedge-delay.js';
+export { computeCallTimes, type CallTimes } from './call-times.js';
 export {
   createCallStateMachine,
   type CallEffect,
--- a/packages/proxy/src/mesh/call-log.ts
+++ b/packages/proxy/src/mesh/call-log.ts
@@ -1,5 +1,5 @@
 /** Logs attempts and finished calls, with a rate limit on the lines of successful calls. */
-import type * as callRunner from './call-runner.js';
+import type * as calls from './call.js';
 import type * as context from './context.js';
 
 export interface CallSummary {
@@ -18,10 +18,10 @@
 
 export interface CallLog {
   logAttempt(
-    call: callRunner.Call,
+    call: calls.Call,
     details: { hostId: string; result: string; cause: string; tookMs?: number },
   ): void;
-  logCall(call: callRunner.Call, summary: CallSummary): void;
+  logCall(call: calls.Call, summary: CallSummary): void;
 }
 
 const SECOND_MS = 1_000;
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -1,53 +1,23 @@
 /** Performs the effects of the call state machine: sends attempts, sets timers and writes responses. */
-import * as core from '@figshed/core';
 import * as mesh from '@figshed/core/mesh';
 import type * as upstreamResponse from './upstream-response.js';
 import type * as bodyReader from './body-reader.js';
 import * as callAttempts from './call-attempts.js';
+import type * as calls from './call.js';
 import * as callLog from './call-log.js';
 import * as constants from './constants.js';
 import type * as context from './context.js';
 import * as eventLoop from '../event-loop.js';
 import type * as peerClient from './peer-client.js';
 import type * as localTarget from './local-target.js';
+import * as serviceRetryBudgets from './service-retry-budgets.js';
 import type * as targetTable from './target-table.js';
 import * as requestBodies from './request-body.js';
 import type * as types from './types.js';
 
-/** A call as received from the caller. */
-export interface Call {
-  callId: string;
-  route: mesh.RoutePolicy;
-  /** Version of the configuration that the route comes from. */
-  version: number;
-  method: string;
-  path: string;
-  headers: string[];
-  body: requestBodies.RequestBody;
-  /** True if the target on this host makes this call as part of another call that it is running. */
-  isNested: boolean;
-  /** Monotonic times in milliseconds. */
-  receivedAt: number;
-  deadlineAt: number;
-}
-
-/**
- * Writes the response of a call, by one of `deliver`, `stream` and `refuse`. `abort` is called if
- * the caller disconnects while no attempt is open.
- */
-export interface CallResponder {
-  deliver(response: { status: number; headers: string[]; body: Buffer }): void;
-  /** Streams a response that is too large to buffer. */
-  stream(upstream: upstreamResponse.UpstreamResponse, receivedChunks: readonly Buffer[]): void;
-  refuse(status: number, retryAfterMs: number): void;
-  abort(): void;
-  /** Returns false once the caller has closed its connection, possibly before it is closed here. */
-  isConnected(): boolean;
-}
-
 export interface CallRunner {
   /** Starts a call; the returned function must be called if the caller disconnects. */
-  run(call: Call, responder: CallResponder): () => void;
+  run(call: calls.Call, responder: calls.CallResponder): () => void;
   /** Ends the open calls as if their deadline had passed; those being streamed continue. */
   expireOpenCalls(): void;
 }
@@ -64,11 +34,6 @@
 
 /** Rank of nested calls, ahead of all routes: their parent call already occupies a slot. */
 const NESTED_CALL_RANK = -1;
-/**
- * Share of the fleet's retry budget that the processes divide among them; the rest covers differences
- * between their member counts.
- */
-const RETRY_BUDGET_SHARE = 0.6;
 /**
  * A call times out this long before its deadline, so that the response reaches the caller in time.
  */
@@ -88,7 +53,7 @@
   const { ctx, targets, target, peers, byteBudget, countProcesses } = input;
   const { settings, clock, metrics } = ctx;
   const splitter = mesh.createTrafficSplitter(ctx.random);
-  const retryBudgets = new Map<string, core.RetryBudget>();
+  const retryBudgets = serviceRetryBudgets.createServiceRetryBudgets(settings, countProcesses);
   const logger = callLog.createCallLog(ctx);
   const hedgeDelayEstimator = mesh.createHedgeDelayEstimator(mesh.hedgeDelayDefaults);
   const responseSizes = mesh.createResponseSizes();
@@ -96,30 +61,20 @@
   /** Functions that end the calls that can still expire. */
   const openCalls = new Set<() => void>();
 
-  const getRetryBudget = (service: string): core.RetryBudget => {
-    const existing = retryBudgets.get(service);
-    if (existing) return existing;
-    const reserve = Math.max(1, (settings.retries.reserve * RETRY_BUDGET_SHARE) / countProcesses());
-    const retryBudget = core.createRetryBudget({
-      ratio: settings.retries.ratio * RETRY_BUDGET_SHARE,
-      reserve,
-    });
-    retryBudgets.set(service, retryBudget);
-    return retryBudget;
-  };
-
-  const run = (call: Call, responder: CallResponder): (() => void) => {
+  const run = (call: calls.Call, responder: calls.CallResponder): (() => void) => {
     const { route } = call;
     const service = splitter.chooseService(route);
-    const retryBudget = getRetryBudget(service);
+    const retryBudget = retryBudgets.get(service);
     retryBudget.recordCall();
     const triedHosts = new Set<string>();
     const fullHosts = new Set<string>();
-    const effectiveDeadlineAt = Math.min(call.deadlineAt, call.receivedAt + route.timeoutMs);
     const key = `${route.name} ${call.method} ${call.path}`;
     const firstReceivedAt =
       rejectedCalls.take(key, call.deadlineAt)?.firstReceivedAt ?? call.receivedAt;
-    const objectiveAt = Math.min(effectiveDeadlineAt, firstReceivedAt + route.objectiveMs);
+    const { objectiveAt, deadlineAt, isLate } = mesh.computeCallTimes(
+      { receivedAt: call.receivedAt, firstReceivedAt, callerDeadlineAt: call.deadlineAt },
+      route,
+    );
     let wasLateAllowed = false;
     /** True once a streamed body has been handed to an attempt; it cannot be sent again. */
     let isBodyConsumed = false;
@@ -134,10 +89,7 @@
     };
     const stateMachine = mesh.createCallStateMachine({
       isRepeatable: route.isRepeatable,
-      isLate:
-        objectiveAt - call.receivedAt <
-        Math.min(route.objectiveMs, effectiveDeadlineAt - call.receivedAt) *
-          constants.MIN_OBJECTIVE_SHARE,
+      isLate,
       maxAttempts: route.maxAttempts,
       maxRefusals: constants.MAX_REFUSALS,
       maxLateRefusals: constants.MAX_LATE_REFUSALS,
@@ -286,7 +238,7 @@
       // Hosts whose queue had no room within the objective may still have room within the deadline.
       if (mayBeLate && !wasLateAllowed) fullHosts.forEach((hostId) => triedHosts.delete(hostId));
       wasLateAllowed = mayBeLate;
-      const remainingMs = effectiveDeadlineAt - clock.monotonic();
+      const remainingMs = deadlineAt - clock.monotonic();
       const meanMs = hedgeDelayEstimator.getMeanMs(route.name) ?? 0;
       if (isBodyConsumed || remainingMs < meanMs * constants.MIN_REMAINING_SHARE) {
         handleEvent({ type: 'no-target' });
@@ -324,7 +276,7 @@
         mayBeLate,
         rank: call.isNested ? NESTED_CALL_RANK : route.rank,
         objectiveAt,
-        deadlineAt: effectiveDeadlineAt,
+        deadlineAt,
       };
       const cancellableAttempt =
         targetHostId === settings.id
@@ -369,7 +321,7 @@
     openCalls.add(expireCall);
     deadlineTimer = setTimeout(
       expireCall,
-      Math.max(0, effectiveDeadlineAt - RESPONSE_MARGIN_MS - clock.monotonic()),
+      Math.max(0, deadlineAt - RESPONSE_MARGIN_MS - clock.monotonic()),
     );
     const handleDisconnect = (): void => {
       if (stateMachine.isFinished()) return;
--- /dev/null
+++ b/packages/proxy/src/mesh/call.ts
@@ -0,0 +1,34 @@
+import type * as mesh from '@figshed/core/mesh';
+import type * as requestBodies from './request-body.js';
+import type * as upstreamResponse from './upstream-response.js';
+
+/** A call as received from the caller. */
+export interface Call {
+  callId: string;
+  route: mesh.RoutePolicy;
+  /** Version of the configuration that the route comes from. */
+  version: number;
+  method: string;
+  path: string;
+  headers: string[];
+  body: requestBodies.RequestBody;
+  /** True if the target on this host makes this call as part of another call that it is running. */
+  isNested: boolean;
+  /** Monotonic times in milliseconds. */
+  receivedAt: number;
+  deadlineAt: number;
+}
+
+/**
+ * Writes the response of a call, by one of `deliver`, `stream` and `refuse`. `abort` is called if
+ * the caller disconnects while no attempt is open.
+ */
+export interface CallResponder {
+  deliver(response: { status: number; headers: string[]; body: Buffer }): void;
+  /** Streams a response that is too large to buffer. */
+  stream(upstream: upstreamResponse.UpstreamResponse, receivedChunks: readonly Buffer[]): void;
+  refuse(status: number, retryAfterMs: number): void;
+  abort(): void;
+  /** Returns false once the caller has closed its connection, possibly before it is closed here. */
+  isConnected(): boolean;
+}
--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -3,6 +3,7 @@
 import type * as mesh from '@figshed/core/mesh';
 import * as upstreamResponse from './upstream-response.js';
 import type * as bodyReader from './body-reader.js';
+import type * as calls from './call.js';
 import type * as callRunner from './call-runner.js';
 import * as constants from './constants.js';
 import type * as context from './context.js';
@@ -133,7 +134,7 @@
     callId: string,
     response: http.ServerResponse,
     connection: Connection,
-  ): callRunner.CallResponder => ({
+  ): calls.CallResponder => ({
     deliver(buffered) {
       if (response.destroyed) return;
       response.writeHead(buffered.status, [
--- a/packages/proxy/src/mesh/constants.ts
+++ b/packages/proxy/src/mesh/constants.ts
@@ -62,8 +62,6 @@
  * calls take longer.
  */
 export const MIN_REMAINING_SHARE = 0.25;
-/** Share of its latency objective that a call must have left to be expected to meet it. */
-export const MIN_OBJECTIVE_SHARE = 0.5;
 /** Deadline of a call without a deadline header. */
 export const DEFAULT_DEADLINE_MS = 30_000;
 /** Interval at which the queue is checked for calls that can no longer be served in time. */
--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -5,10 +5,13 @@
 import * as constants from './constants.js';
 import type * as context from './context.js';
 import * as keepAliveAgent from './keep-alive-agent.js';
+import * as localTargetGate from './local-target-gate.js';
 import * as meshHeaders from './mesh-headers.js';
 import * as requestBodies from './request-body.js';
 import * as responseBytes from './response-bytes.js';
+import * as silenceMonitor from './silence-monitor.js';
 import * as targetRequest from './target-request.js';
+import * as targetResponse from './target-response.js';
 import type * as types from './types.js';
 
 /** Runs attempts at the target on this host, within its slots and only while its gate is open. */
@@ -37,12 +40,6 @@
 
 /** Weight of the newest attempt in the exponential moving average of failures. */
 const FAILURE_SMOOTHING_FACTOR = 0.1;
-/** Multiple of the mean service time after which an attempt without a response is logged. */
-const SILENCE_FACTOR = 4;
-/** Multiple after which the target may have left an attempt without a response. */
-const OVERDUE_FACTOR = 2;
-/** Multiple of the mean service time for which the slot of a cancelled call may be held. */
-const HELD_SLOT_FACTOR = 1.25;
 /** Separates a call's ID from the suffix that a target appends for its nested calls. */
 const ID_SEPARATOR = /[^0-9A-Za-z]/;
 /** Idle time-out of connections to the target; less than half of the targets' own time-out. */
@@ -53,13 +50,9 @@
   handler: types.AttemptHandler;
   /** Request to the target; undefined until it has been sent. */
   request: http.ClientRequest | undefined;
-  /** The target that it was sent to; undefined until then. */
-  target: mesh.OpenTarget | undefined;
+  /** Where and when it was sent; undefined until then. */
+  sent: silenceMonitor.SentAttempt | undefined;
   receivedAt: number;
-  sentAt: number;
-  hasResponse: boolean;
-  /** Responses of the target before this attempt was sent. */
-  responsesBefore: number;
   isCancelled: boolean;
 }
 
@@ -79,24 +72,18 @@
 export function createLocalTarget(input: LocalTargetInput): LocalTarget {
   const { ctx, endpoint, onChange } = input;
   const { clock, log, metrics, protocol } = ctx;
-  const gate = mesh.createTargetGate();
   const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults);
-  const rateLimit = mesh.createStatedRateLimit();
   const agent = keepAliveAgent.createAgent(TARGET_IDLE_TIMEOUT_MS);
   const createRequest = targetRequest.createTargetRequestFactory({ protocol, agent, endpoint });
+  const silence = silenceMonitor.createSilenceMonitor(
+    ctx,
+    () => queue.getLoad(clock.monotonic()).serviceMs,
+  );
   const openAttempts = new Map<string, LocalAttempt>();
-  /** The departed incarnation that `onChange` has reported last. */
-  let announcedDeparted: string | undefined;
   let failureShare = 0;
-  let responses = 0;
-  /** The last target that left a call without a response while it responded to others. */
-  let silentTarget: mesh.OpenTarget | undefined;
   let lastKey = 0;
-  let wasAnnouncedCold = false;
   let checkTimer: NodeJS.Timeout | undefined;
 
-  const isCold = (): boolean => (gate.getOpenTarget()?.coldUntil ?? 0) > clock.monotonic();
-
   const updateFailureShare = (hasFailed: boolean): void => {
     failureShare += ((hasFailed ? 1 : 0) - failureShare) * FAILURE_SMOOTHING_FACTOR;
   };
@@ -109,6 +96,7 @@
     log.info('attempt-refused', {
       call: entry.attempt.callId,
       reason,
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- a closed gate refuses calls
       target: gate.getOpenTarget()?.id,
       ...queue.getLoad(clock.monotonic()),
     });
@@ -132,46 +120,34 @@
     applyEffects(queue.poll(clock.monotonic()));
   };
 
+  const gate = localTargetGate.createLocalTargetGate({
+    ctx,
+    queue,
+    applyEffects,
+    onOpened() {
+      failureShare = 0;
+    },
+    onClosed: (reason) => queue.drain().forEach((key) => refuse(key, reason)),
+    onChange,
+  });
+
   const releaseSlot = (key: string, serviceMs?: number): void => {
     applyEffects(queue.release(key, serviceMs, clock.monotonic()));
   };
 
-  /**
-   * Records an attempt that ends without a response, although the target usually responds sooner, and
-   * notes the target if it has responded to others meanwhile.
-   */
-  const recordSilence = (entry: LocalAttempt): void => {
-    const now = clock.monotonic();
-    const ranMs = now - entry.sentAt;
-    const usualMs = queue.getLoad(now).serviceMs;
-    const responsesMeanwhile = responses - entry.responsesBefore;
-    if (entry.hasResponse || ranMs < usualMs * OVERDUE_FACTOR) return;
-    if (responsesMeanwhile >= (entry.target?.slots ?? 1)) silentTarget = entry.target;
-    if (ranMs < usualMs * SILENCE_FACTOR) return;
-    metrics.count('target_silences_total');
-    log.warn('target-silent', {
-      call: entry.attempt.callId,
-      target: entry.target?.id,
-      ranMs: Math.round(ranMs),
-      usualMs: Math.round(usualMs),
-      responsesMeanwhile,
-    });
-  };
-
-  /**
-   * Frees the slot of an attempt that was cancelled. A target that never responds to calls beyond its
-   * slots may run it to its end, so the slot of such a target is held for about that long.
-   */
-  const releaseAbandonedSlot = (key: string, { sentAt, attempt, target }: LocalAttempt): void => {
+  /** Records the end of an attempt that has been sent, and frees its slot. */
+  const releaseAbandonedSlot = (key: string, { sent }: LocalAttempt): void => {
+    if (!sent) {
+      releaseSlot(key);
+      return;
+    }
+    silence.recordEnd(sent);
     const release = (): void => {
       const now = clock.monotonic();
-      applyEffects(queue.releaseCancelled(key, now - sentAt, now));
+      applyEffects(queue.releaseCancelled(key, now - sent.sentAt, now));
     };
-    const usualMs = queue.getLoad(sentAt).serviceMs;
-    const remainingMs =
-      Math.min(attempt.deadlineAt, sentAt + usualMs * HELD_SLOT_FACTOR) - clock.monotonic();
-    const mayStillRun = target !== undefined && target.id === silentTarget?.id;
-    if (mayStillRun && remainingMs > 0) setTimeout(release, remainingMs).unref();
+    const holdMs = silence.computeHoldMs(sent);
+    if (holdMs > 0) setTimeout(release, holdMs).unref();
     else release();
   };
 
@@ -181,8 +157,11 @@
     openAttempts.delete(key);
     updateFailureShare(true);
     metrics.count('attempts_broken_total');
-    log.warn('attempt-broken', { call: entry.attempt.callId, cause, target: entry.target?.id });
-    recordSilence(entry);
+    log.warn('attempt-broken', {
+      call: entry.attempt.callId,
+      cause,
+      target: entry.sent?.target.id,
+    });
     entry.handler.onBroken(cause);
     releaseAbandonedSlot(key, entry);
   };
@@ -192,99 +171,48 @@
     releaseSlot(key);
   };
 
-  const markTargetDown = (target: mesh.OpenTarget, cause: string): void => {
-    if (!gate.markDown(target.id)) return;
-    log.warn('target-down', { target: target.id, cause });
-    queue.drain().forEach((key) => refuse(key, 'target-down'));
-    onChange();
-  };
-
-  const applyVerdict = (
-    verdict: mesh.GateVerdict,
-    message: { id: string; bornAt: number | undefined; sequence?: number },
-    cause: string,
-  ): mesh.GateVerdict => {
-    if (verdict === 'kept') return verdict;
-    const { id, bornAt, sequence } = message;
-    log.info('target-gate', { target: id, verdict, cause, bornAt, sequence });
-    if (verdict === 'closed') queue.drain().forEach((key) => refuse(key, 'draining'));
-    const hasNewDeparted = gate.getDeparted() !== announcedDeparted;
-    announcedDeparted = gate.getDeparted();
-    if (verdict !== 'stale' || hasNewDeparted) onChange();
-    return verdict;
-  };
-
-  const closeLeavingTarget = (target: mesh.OpenTarget): void => {
-    const verdict = gate.deregister(target.id, target.bornAt, clock.monotonic());
-    if (verdict === 'closed') applyVerdict(verdict, target, 'leaving');
-  };
-
-  const updateRateLimit = (
-    target: mesh.OpenTarget,
-    sentAt: number,
-    callsPerSecond: types.TargetNotice['callsPerSecond'],
-  ): void => {
-    if (callsPerSecond === 'unreadable') {
-      metrics.count('target_limits_unreadable_total');
-      log.debug('target-limit-refused', { target: target.id });
-      return;
-    }
-    const now = clock.monotonic();
-    const incarnation = mesh.formatIncarnation(target);
-    if (!rateLimit.recordResponse({ incarnation, sentAt, callsPerSecond }, now)) return;
-    log.info('target-limit', { target: target.id, callsPerSecond });
-    applyEffects(queue.setRateLimit(callsPerSecond, now));
-  };
-
   const handleResponse = (
     key: string,
     message: http.IncomingMessage,
     isComplete: () => boolean,
   ): void => {
     const entry = openAttempts.get(key);
-    const status = message.statusCode ?? 0;
-    if (!entry?.target) {
+    if (!entry?.sent) {
       message.destroy();
       return;
     }
-    responses += 1;
-    entry.hasResponse = true;
-    const { target } = entry;
-    const { headers } = message;
-    const isMisdirected = status === constants.HTTP.misdirected;
-    const isNotExecuted = headers[protocol.notExecutedHeader] !== undefined;
-    const isFromTarget =
-      isMisdirected || isNotExecuted || headers[protocol.signatureHeader] !== undefined;
-    if (status < constants.HTTP.ok) {
-      message.destroy();
-      failAttempt(key, 'invalid-status');
-      return;
-    }
-    // A response to another call, a refusal included, must not count as the response to this one.
-    const hasMatchingCallId = headers[protocol.callIdHeader] === entry.attempt.callId;
-    if (!hasMatchingCallId || !isFromTarget) {
+    const { target, sentAt } = entry.sent;
+    entry.sent.hasResponse = true;
+    silence.recordResponse();
+    const classified = targetResponse.classifyTargetResponse(
+      message,
+      entry.attempt.callId,
+      protocol,
+    );
+    if (classified.type === 'invalid') {
       message.destroy();
-      failAttempt(key, hasMatchingCallId ? 'answer-without-signature' : 'answer-of-another-call');
+      failAttempt(key, classified.cause);
       return;
     }
-    if (isMisdirected) {
+    if (classified.type === 'misdirected') {
       responseBytes.discardBody(message);
-      markTargetDown(target, 'another-instance');
+      gate.markDown(target, 'another-instance');
       refuseStarted(key, 'wrong-instance');
       return;
     }
-    const { callsPerSecond, isLeaving } = protocol.readTargetNotice(headers);
-    if (isLeaving) closeLeavingTarget(target);
-    updateRateLimit(target, entry.sentAt, callsPerSecond);
-    if (isNotExecuted) {
+    const { callsPerSecond, isLeaving } = classified.notice;
+    if (isLeaving) gate.closeLeaving(target);
+    gate.updateRateLimit(target, sentAt, callsPerSecond);
+    if (classified.type === 'not-executed') {
       responseBytes.discardBody(message);
       updateFailureShare(true);
       refuseStarted(key, 'target-refused');
       return;
     }
+    const status = message.statusCode ?? 0;
     const settleAttempt = (): void => {
       if (!openAttempts.delete(key)) return;
-      const tookMs = clock.monotonic() - entry.sentAt;
+      const tookMs = clock.monotonic() - sentAt;
       updateFailureShare(!isComplete() || status >= constants.HTTP.firstServerError);
       metrics.observe('target_ms', tookMs);
       releaseSlot(key, isComplete() && status < constants.HTTP.firstError ? tookMs : undefined);
@@ -313,9 +241,14 @@
     }
     const { attempt } = entry;
     let isConnected = false;
-    entry.target = target;
-    entry.sentAt = now;
-    entry.responsesBefore = responses;
+    entry.sent = {
+      callId: attempt.callId,
+      target,
+      sentAt: now,
+      deadlineAt: attempt.deadlineAt,
+      hasResponse: false,
+      responsesBefore: silence.countResponses(),
+    };
     const request = createRequest(attempt, {
       target,
       bodyBytes: requestBodies.measureBody(body),
@@ -351,7 +284,7 @@
         failAttempt(key, error.message);
         return;
       }
-      markTargetDown(target, error.message);
+      gate.markDown(target, error.message);
       refuseStarted(key, 'target-down');
     });
     requestBodies.writeBody(body, request);
@@ -388,7 +321,7 @@
     log.info('attempt-abandoned', {
       call: entry.attempt.callId,
       openMs: Math.round(now - entry.receivedAt),
-      ranMs: entry.request ? Math.round(now - entry.sentAt) : undefined,
+      ranMs: entry.sent ? Math.round(now - entry.sent.sentAt) : undefined,
     });
     if (queue.cancel(key)) {
       openAttempts.delete(key);
@@ -400,7 +333,6 @@
     if (!entry.attempt.isRepeatable) return false;
     openAttempts.delete(key);
     entry.request.destroy();
-    recordSilence(entry);
     releaseAbandonedSlot(key, entry);
     return false;
   };
@@ -414,11 +346,8 @@
         attempt,
         handler,
         request: undefined,
-        target: undefined,
+        sent: undefined,
         receivedAt: now,
-        sentAt: now,
-        hasResponse: false,
-        responsesBefore: 0,
         isCancelled: false,
       });
       const target = gate.getOpenTarget();
@@ -433,33 +362,13 @@
       }
       return { cancel: () => cancel(key) };
     },
-    applyAnnouncement(announcement) {
-      const now = clock.monotonic();
-      const wasCold = wasAnnouncedCold;
-      const verdict = gate.handleAnnouncement(announcement, now);
-      wasAnnouncedCold = isCold();
-      const target = gate.getOpenTarget();
-      if (target) {
-        rateLimit.setIncarnation(mesh.formatIncarnation(target));
-        applyEffects(queue.setRateLimit(rateLimit.get(), now));
-        applyEffects(queue.setSlots(target.slots, now));
-      }
-      if (verdict === 'opened') failureShare = 0;
-      if (verdict === 'kept' && wasCold && !isCold()) onChange();
-      return applyVerdict(verdict, announcement, announcement.state);
-    },
-    deregister: (id, bornAt) =>
-      applyVerdict(gate.deregister(id, bornAt, clock.monotonic()), { id, bornAt }, 'deregistered'),
-    recallDeparted(incarnation) {
-      if (gate.getDeparted() === incarnation) return;
-      const { id, bornAt } = mesh.parseIncarnation(incarnation);
-      const verdict = gate.deregister(id, bornAt, clock.monotonic());
-      applyVerdict(verdict, { id, bornAt }, 'recalled');
-    },
-    getDeparted: () => gate.getDeparted(),
+    applyAnnouncement: gate.applyAnnouncement,
+    deregister: gate.deregister,
+    recallDeparted: gate.recallDeparted,
+    getDeparted: gate.getDeparted,
     getLoad: () => ({ ...queue.getLoad(clock.monotonic()), failureShare }),
-    getOpenTarget: () => gate.getOpenTarget(),
-    isCold,
+    getOpenTarget: gate.getOpenTarget,
+    isCold: gate.isCold,
     countOpenAttempts: () => openAttempts.size,
     isRunningParentOf: (callId) =>
       [...openAttempts.values()].some(
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -127,7 +127,7 @@
     onChange: () =>
       members.setInfo({
         target: describeTarget(),
-        // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
+
         departedTarget: target.getDeparted(),
       }),
   });
