Registration: the readings of the host registry do not grow with the fleet

Change: the interval is at least half a second for each host, two readings a second for the fleet. Result: a test of the rate; fleets of up to 40 hosts read as often as before.

--- a/packages/proxy/src/mesh/registration.ts
+++ b/packages/proxy/src/mesh/registration.ts
@@ -17,8 +17,13 @@
   onList: (endpoints: readonly core.Endpoint[]) => void;
 }
 
-/** How often the host registry is read again, for hosts that gossip has missed. */
-const RELIST_INTERVAL_MS = 20_000;
+/** Shortest interval at which a host reads the registry again, for hosts that gossip has missed. */
+const MIN_RELIST_INTERVAL_MS = 20_000;
+/**
+ * Mean time between the readings of all hosts together: what one host finds, gossip brings to the
+ * others, so the readings of the fleet need not grow with it.
+ */
+const FLEET_RELIST_INTERVAL_MS = 500;
 /** Delay before a failed request to the host registry is retried; doubles up to the maximum. */
 const RETRY_DELAY_MS = 250;
 /** Half of the 2 s within which a host must be registered again after an outage of the registry. */
@@ -30,6 +35,17 @@
  */
 const RENEWAL_SPREAD_MS = 750;
 
+/**
+ * Computes the time until the next reading of the registry, in milliseconds, in a fleet of `hosts`.
+ *
+ * @example
+ * computeRelistDelayMs(24, random);
+ */
+export function computeRelistDelayMs(hosts: number, random: core.Random): number {
+  const intervalMs = Math.max(MIN_RELIST_INTERVAL_MS, hosts * FLEET_RELIST_INTERVAL_MS);
+  return intervalMs * (1 + RELIST_JITTER_SHARE * random());
+}
+
 /**
  * Creates the registration of a process; nothing is written before `start`.
  *
@@ -59,7 +75,7 @@
       const endpoints = await hostRegistry.list();
       onList(endpoints);
       log.debug('hosts-listed', { hosts: endpoints.length });
-      delayMs = RELIST_INTERVAL_MS * (1 + RELIST_JITTER_SHARE * random());
+      delayMs = computeRelistDelayMs(endpoints.length, random);
       nextRetryMs = RETRY_DELAY_MS;
     } catch (error) {
       const { message } = error as Error;
--- a/packages/proxy/test/mesh-registration.test.ts
+++ b/packages/proxy/test/mesh-registration.test.ts
@@ -75,6 +75,13 @@
     assert.equal(calls.at(-1), 'list');
   });
 
+  it('reads the registry at a rate that does not grow with a large fleet', () => {
+    const countReadingsPerSecond = (hosts: number): number =>
+      (hosts * 1_000) / registrations.computeRelistDelayMs(hosts, () => 0);
+    assert.ok(countReadingsPerSecond(24) < 2);
+    assert.equal(countReadingsPerSecond(200), countReadingsPerSecond(1_068));
+  });
+
   it('writes nothing after a stop', async () => {
     const { calls, registration } = createSetup(5);
     registration.start();
