--- a/packages/core/src/mesh/rejected-calls.ts
+++ b/packages/core/src/mesh/rejected-calls.ts
@@ -8,7 +8,7 @@
 export interface RejectedCallsOptions {
   /** Maximum difference between the deadlines of the two calls, in milliseconds. */
   toleranceMs: number;
-  /** Maximum number of calls that are stored; the oldest are dropped. */
+  /** Maximum number of calls that are stored; the oldest are dropped, and those whose time is up. */
   maxCalls: number;
 }
 
@@ -24,7 +24,7 @@
 }
 
 export interface RejectedCalls {
-  record(call: RejectedCall): void;
+  record(call: RejectedCall, now: number): void;
   /** Removes a rejected call with this key and about this deadline, and returns it. */
   take(key: string, deadlineAt: number): RejectedCall | undefined;
 }
@@ -34,7 +34,7 @@
  *
  * @example
  * const rejectedCalls = createRejectedCalls(rejectedCallsDefaults);
- * rejectedCalls.record({ key: 'read /a', firstReceivedAt: 0, deadlineAt: 1_200 });
+ * rejectedCalls.record({ key: 'read /a', firstReceivedAt: 0, deadlineAt: 1_200 }, 0);
  * rejectedCalls.take('read /a', 1_204)?.firstReceivedAt; // 0
  */
 export function createRejectedCalls(options: RejectedCallsOptions): RejectedCalls {
@@ -49,7 +49,8 @@
   };
 
   return {
-    record(call) {
+    record(call, now) {
+      [...calls].filter(({ deadlineAt }) => deadlineAt < now).forEach(remove);
       calls.add(call);
       const sameKey = callsByKey.get(call.key) ?? new Set();
       callsByKey.set(call.key, sameKey.add(call));
--- a/packages/core/test/mesh-overload.test.ts
+++ b/packages/core/test/mesh-overload.test.ts
@@ -79,7 +79,7 @@
 
   it('recognise the call of a caller that returns, once', () => {
     const rejectedCalls = mesh.createRejectedCalls(mesh.rejectedCallsDefaults);
-    rejectedCalls.record(call);
+    rejectedCalls.record(call, 0);
     assert.equal(rejectedCalls.take('read /b', 1_200), undefined);
     assert.equal(rejectedCalls.take('read /a', 1_300), undefined);
     assert.equal(rejectedCalls.take('read /a', 1_210), call);
@@ -88,9 +88,16 @@
 
   it('forget the oldest when there are too many', () => {
     const rejectedCalls = mesh.createRejectedCalls({ toleranceMs: 30, maxCalls: 1 });
-    rejectedCalls.record(call);
-    rejectedCalls.record({ ...call, deadlineAt: 5_000 });
+    rejectedCalls.record(call, 0);
+    rejectedCalls.record({ ...call, deadlineAt: 5_000 }, 0);
     assert.equal(rejectedCalls.take('read /a', 1_200), undefined);
     assert.ok(rejectedCalls.take('read /a', 5_000));
   });
+
+  it('forget those whose deadline has passed', () => {
+    const rejectedCalls = mesh.createRejectedCalls(mesh.rejectedCallsDefaults);
+    rejectedCalls.record(call, 0);
+    rejectedCalls.record({ ...call, deadlineAt: 5_000 }, 1_201);
+    assert.equal(rejectedCalls.take('read /a', 1_200), undefined);
+  });
 });
--- a/packages/core/test/overload-simulation.ts
+++ b/packages/core/test/overload-simulation.ts
@@ -178,7 +178,7 @@
         result.heldUntried += Math.min(1, Math.max(0, heldShare));
       }
       if (status === 503 && retriesLeft > 0) {
-        ingress.rejectedCalls.record({ key: 'read', firstReceivedAt, deadlineAt });
+        ingress.rejectedCalls.record({ key: 'read', firstReceivedAt, deadlineAt }, now);
         const waitMs = Math.min(retryAfterMs, (deadlineAt - now) / 3);
         schedule(now + waitMs, () => runCall(ingress, arrivedAt, retriesLeft - 1));
         return;
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -304,7 +304,10 @@
       answer({ outcome, status, retryAfterMs }) {
         recordEnd(outcome, status);
         if (outcome === 'not-run')
-          rejectedCalls.record({ key, firstReceivedAt, deadlineAt: call.deadlineAt });
+          rejectedCalls.record(
+            { key, firstReceivedAt, deadlineAt: call.deadlineAt },
+            clock.monotonic(),
+          );
         responder.refuse(status, retryAfterMs);
       },
       abort: () => responder.abort(),
