Uploads: large bodies arrive at a host one after another, at the rate of its link

Cause: on the grown site, eight hosts of the intake service with links of 10 Mbit/s receive about 49 Mbit/s of photos.

Change: the egress asks for a body only when the link has received the ones before it, as it already paces large responses; the expected transfer counts in admission, and the backlog in the load report. The size of the body is a field of the attempt.

--- a/packages/core/src/mesh/types.ts
+++ b/packages/core/src/mesh/types.ts
@@ -68,7 +68,7 @@
   startDelayMs: number;
   /** Exponential moving average of the share of calls that failed at the target, 0 to 1. */
   failureShare: number;
-  /** Time to transmit the large responses queued for the link of its host, in milliseconds. */
+  /** Time to transmit the large bodies queued for the link of its host, in milliseconds. */
   backlogMs: number;
   /** Transmission time of one kilobyte on that link, in milliseconds. */
   kilobyteMs: number;
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -270,9 +270,8 @@
         path: call.path,
         headers: call.headers,
         isRepeatable: route.isRepeatable,
-        streamedBody: Buffer.isBuffer(call.body)
-          ? undefined
-          : { lengthBytes: call.body.lengthBytes },
+        bodyBytes: requestBodies.measureBody(call.body),
+        isStreamed: !Buffer.isBuffer(call.body),
         mayBeLate,
         rank: call.isNested ? NESTED_CALL_RANK : route.rank,
         objectiveAt,
--- a/packages/proxy/src/mesh/mesh-headers.ts
+++ b/packages/proxy/src/mesh/mesh-headers.ts
@@ -22,8 +22,10 @@
   rank: number;
   objectiveMs: number;
   deadlineMs: number;
-  /** Present if the body is streamed; its length if that is stated. */
-  streamedBody?: { lengthBytes?: number | undefined } | undefined;
+  /** Size of the body, if it is known. */
+  bodyBytes?: number | undefined;
+  /** True if the body is streamed; processes of older versions buffer it. */
+  isStreamed?: boolean | undefined;
 }
 
 /**
--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -51,12 +51,23 @@
     linkMbps: settings.linkMbps,
   });
 
+  /** Paces the request bodies that arrive over the link, which is as wide in both directions. */
+  const bodyPacer = mesh.createLinkPacer({
+    ...mesh.linkPacerDefaults,
+    linkMbps: settings.linkMbps,
+  });
+
   let openAttempts = 0;
 
+  const getBacklogMs = (): number => {
+    const now = clock.monotonic();
+    return Math.max(pacer.getBacklogMs(now), bodyPacer.getBacklogMs(now));
+  };
+
   const formatLoad = (): string[] =>
     meshHeaders.formatLoad({
       ...target.getLoad(),
-      backlogMs: pacer.getBacklogMs(clock.monotonic()),
+      backlogMs: getBacklogMs(),
       kilobyteMs: pacer.kilobyteMs,
     });
 
@@ -183,11 +194,15 @@
     }, constants.ACKNOWLEDGEMENT_DELAY_MS);
     response.once('close', () => clearTimeout(acknowledgementTimer));
     let isPeerDisconnected = false;
+    const { bodyBytes = 0, isStreamed = false } = metadata;
     const readLateBody = async (): Promise<requestBodies.RequestBody | undefined> => {
+      if (bodyPacer.isLarge(bodyBytes))
+        await timers.setTimeout(bodyPacer.reserve(metadata.route, bodyBytes, clock.monotonic()));
+      if (response.destroyed) return undefined;
       clearTimeout(acknowledgementTimer);
       response.writeContinue();
-      if (metadata.streamedBody) {
-        const { lengthBytes } = metadata.streamedBody;
+      if (isStreamed) {
+        const lengthBytes = metadata.bodyBytes;
         return { source: request, lengthBytes, maxBytes: Number.POSITIVE_INFINITY };
       }
       const timeout = new AbortController();
@@ -217,14 +232,19 @@
         path: request.url ?? '/',
         headers: meshHeaders.copyHeaders(request.rawHeaders, new Set()),
         isRepeatable: metadata.isRepeatable,
-        streamedBody: metadata.streamedBody && { lengthBytes: metadata.streamedBody.lengthBytes },
+        bodyBytes: metadata.bodyBytes,
+        isStreamed,
         mayBeLate: metadata.mayBeLate,
         rank: metadata.rank,
         objectiveAt: now + metadata.objectiveMs,
         deadlineAt: now + metadata.deadlineMs,
       },
       createAttemptHandler(request, response, metadata.route, provideBody),
-      pacer.estimateTransferMs(metadata.route, now),
+      pacer.estimateTransferMs(metadata.route, now) +
+        (bodyPacer.isLarge(bodyBytes)
+          ? bodyPacer.getBacklogMs(now) +
+            (bodyBytes / mesh.BYTES_PER_KILOBYTE) * bodyPacer.kilobyteMs
+          : 0),
     );
     const handlePeerDisconnect = (): void => {
       if (isPeerDisconnected || response.writableFinished) return;
--- a/packages/proxy/src/mesh/types.ts
+++ b/packages/proxy/src/mesh/types.ts
@@ -100,8 +100,10 @@
   /** Alternating names and values, without hop-by-hop headers. */
   headers: string[];
   isRepeatable: boolean;
-  /** Size of a body that is streamed instead of buffered, if its length is stated. */
-  streamedBody: { lengthBytes: number | undefined } | undefined;
+  /** Size of the body; undefined for a streamed one without a stated length. */
+  bodyBytes: number | undefined;
+  /** True if the body is streamed instead of buffered. */
+  isStreamed: boolean;
   /**
    * Priority; lower is more urgent. The ranks of routes start at 0; nested calls, which the target
    * makes while it runs another call, have a negative rank.
