Placement: the own target counts as unmeasured until it has run a call

Cause: since the load of the own target is read directly, a target without a measured service time showed the queue's prior of 100 ms and, having a load, was never explored. A process beside faster targets then never called its own one. Change: no load before the first sample, and the load ages from the last one, as reports do.

--- a/packages/core/src/mesh/service-time-estimates.ts
+++ b/packages/core/src/mesh/service-time-estimates.ts
@@ -30,6 +30,8 @@
   /** Returns the assumed service time of a call with `objectiveMs` left until its objective. */
   computePriorMs(objectiveMs: number): number;
   getMeanMs(): number;
+  /** Returns the monotonic time of the last sample, in milliseconds; undefined before the first. */
+  getSampledAt(): number | undefined;
   /** Returns the safety margin for the variation of the service times of a kind, in milliseconds. */
   getMarginMs(kind: string): number;
 }
@@ -83,6 +85,7 @@
     computePriorMs: (objectiveMs) =>
       objectiveMs > 0 ? objectiveMs * options.priorShare : options.priorMs,
     getMeanMs: () => overallMean.meanMs,
+    getSampledAt: () => (overallMean.samples > 0 ? overallMean.sampledAt : undefined),
     getMarginMs: (kind) => (meansByKind.get(kind)?.deviationMs ?? 0) * options.marginDeviations,
   };
 }
--- a/packages/core/src/mesh/slot-queue.ts
+++ b/packages/core/src/mesh/slot-queue.ts
@@ -82,6 +82,8 @@
    */
   poll(now: number): SlotEffect[];
   hasWaiting(): boolean;
+  /** Returns when the last service time was recorded; undefined before the first. */
+  getSampledAt(): number | undefined;
   /** Returns the current load; a queued call counts as late when it will miss its objective. */
   getLoad(now: number): SlotLoad;
 }
@@ -256,6 +258,7 @@
     },
     poll: startNext,
     hasWaiting: () => waiting.length > 0,
+    getSampledAt: serviceTimes.getSampledAt,
     getLoad(now) {
       const late = waiting.filter((request) => isLate(request, now)).length;
       return {
--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -30,6 +30,8 @@
   /** Returns the incarnation that left last; undefined before the first. */
   getDeparted(): string | undefined;
   getLoad(): mesh.SlotLoad & Pick<mesh.TargetLoad, 'failureShare'>;
+  /** Returns when the last service time was measured; undefined before the first. */
+  getSampledAt(): number | undefined;
   getOpenTarget(): mesh.OpenTarget | undefined;
   isCold(): boolean;
   countOpenAttempts(): number;
@@ -367,6 +369,7 @@
     recallDeparted: gate.recallDeparted,
     getDeparted: gate.getDeparted,
     getLoad: () => ({ ...queue.getLoad(clock.monotonic()), failureShare }),
+    getSampledAt: queue.getSampledAt,
     getOpenTarget: gate.getOpenTarget,
     isCold: gate.isCold,
     countOpenAttempts: () => openAttempts.size,
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -55,7 +55,7 @@
 
   const stallMonitor = stallMonitors.createStallMonitor(ctx);
   // eslint-disable-next-line @typescript-eslint/no-use-before-define -- tasks depend on one another
-  const targets = targetTable.createTargetTable(ctx, () => target.getLoad());
+  const targets = targetTable.createTargetTable(ctx, () => target);
   const peers = peerClient.createPeerClient(ctx);
 
   const history = mesh.createConfigHistory(mesh.configHistoryDefaults);
--- a/packages/proxy/src/mesh/target-table.ts
+++ b/packages/proxy/src/mesh/target-table.ts
@@ -2,6 +2,7 @@
 import * as mesh from '@figshed/core/mesh';
 import * as constants from './constants.js';
 import type * as context from './context.js';
+import type * as localTarget from './local-target.js';
 
 /** Targets that this process may call, with the load and circuit breaker of each. */
 export interface TargetTable {
@@ -53,15 +54,15 @@
 };
 
 /**
- * Creates an empty table. `getOwnLoad` returns the current load of the target on this host, which
- * needs no reports.
+ * Creates an empty table. `getOwnTarget` returns the target on this host, whose load needs no reports
+ * once a service time has been measured; like a report, it ages from the last measurement.
  *
  * @example
- * const targets = createTargetTable(ctx, () => target.getLoad());
+ * const targets = createTargetTable(ctx, () => target);
  */
 export function createTargetTable(
   ctx: context.MeshContext,
-  getOwnLoad: () => mesh.SlotLoad & Pick<mesh.TargetLoad, 'failureShare'>,
+  getOwnTarget: () => Pick<localTarget.LocalTarget, 'getLoad' | 'getSampledAt'>,
 ): TargetTable {
   const { settings, clock, random, log } = ctx;
   const entries = new Map<string, TargetEntry>();
@@ -82,16 +83,27 @@
   const listCallable = (service: string): TargetEntry[] =>
     [...entries.values()].filter((entry) => isCallable(entry, service));
 
+  const getLastLoad = (
+    entry: TargetEntry,
+  ): { load: mesh.TargetLoad | undefined; loadReceivedAt: number } => {
+    if (entry.member.id !== settings.id) return entry;
+    const ownTarget = getOwnTarget();
+    const sampledAt = ownTarget.getSampledAt();
+    if (sampledAt === undefined) return { load: undefined, loadReceivedAt: 0 };
+    const load = { ...ownTarget.getLoad(), backlogMs: 0, kilobyteMs: 0 };
+    return { load, loadReceivedAt: sampledAt };
+  };
+
   const describeCandidate = (entry: TargetEntry, now: number): mesh.PlacementCandidate => {
     const { id, info } = entry.member;
-    const isOwn = id === settings.id;
+    const { load, loadReceivedAt } = getLastLoad(entry);
     return {
       hostId: id,
       locality: computeLocality(entry.member),
       slots: info.target?.slots ?? 1,
       openCalls: entry.openCalls,
-      load: isOwn ? { ...getOwnLoad(), backlogMs: 0, kilobyteMs: 0 } : entry.load,
-      loadAgeMs: isOwn ? 0 : now - entry.loadReceivedAt,
+      load,
+      loadAgeMs: now - loadReceivedAt,
       isCold: info.target?.isCold === true,
     };
   };
