Uploads: the size limit also holds for a small body in chunks

Cause: a chunked body of up to 256 KiB was buffered without the configuration's limit, and its reader removed listeners that it had not added. Found by reading the change. Change: the limit is checked for each chunk; only own listeners are removed.

--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -127,7 +127,6 @@
     onChange: () =>
       members.setInfo({
         target: describeTarget(),
-
         departedTarget: target.getDeparted(),
       }),
   });
--- a/packages/proxy/src/mesh/request-body.ts
+++ b/packages/proxy/src/mesh/request-body.ts
@@ -38,32 +38,36 @@
     const chunks: Buffer[] = [];
     let sizeBytes = 0;
     let reservedBytes = 0;
-    const settle = (): void => {
+    const finish = (): void => {
       byteBudget.release(reservedBytes);
-      reservedBytes = 0;
-      source.removeAllListeners('data');
-      source.removeAllListeners('end');
-      source.removeAllListeners('close');
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- listeners remove one another
+      source.off('data', handleData).off('end', handleEnd).off('close', handleClose);
     };
-    source.on('data', (chunk: Buffer) => {
+    const handleData = (chunk: Buffer): void => {
       chunks.push(chunk);
       sizeBytes += chunk.length;
       const isReserved = byteBudget.reserve(chunk.length);
       if (isReserved) reservedBytes += chunk.length;
+      if (sizeBytes > maxBytes) {
+        finish();
+        reject(new errors.BodyTooLargeError(maxBytes));
+        return;
+      }
       if (isReserved && sizeBytes <= constants.MAX_BUFFERED_REQUEST_BYTES) return;
-      settle();
+      finish();
       source.pause();
       source.unshift(Buffer.concat(chunks, sizeBytes));
       resolve({ source, lengthBytes: undefined, maxBytes });
-    });
-    source.once('end', () => {
-      settle();
+    };
+    const handleEnd = (): void => {
+      finish();
       resolve(Buffer.concat(chunks, sizeBytes));
-    });
-    source.once('close', () => {
-      settle();
+    };
+    const handleClose = (): void => {
+      finish();
       reject(new errors.IncompleteBodyError());
-    });
+    };
+    source.on('data', handleData).once('end', handleEnd).once('close', handleClose);
   });
 }
 
