--- a/packages/stand-ins/src/mesh-soak/faults.ts
+++ b/packages/stand-ins/src/mesh-soak/faults.ts
@@ -1,6 +1,7 @@
 import * as timers from 'node:timers/promises';
 import type * as meshFleet from '../mesh/mesh-fleet.js';
 import type * as meshTarget from '../mesh/mesh-target.js';
+import type * as targetFaults from '../mesh/target-faults.js';
 import type * as checks from './checks.js';
 import type * as faultLink from './fault-link.js';
 
@@ -93,7 +94,7 @@
 const injectTargetFault = (
   context: SoakContext,
   durationMs: number,
-  change: Partial<meshTarget.TargetFaults>,
+  change: Partial<targetFaults.TargetFaults>,
 ): Promise<boolean> => overrideTemporarily(pickHost(context).target.faults, durationMs, change);
 
 async function injectLinkFault(
--- a/packages/stand-ins/src/mesh/mesh-target.ts
+++ b/packages/stand-ins/src/mesh/mesh-target.ts
@@ -3,24 +3,11 @@
 import * as timers from 'node:timers/promises';
 import * as resetSocket from '../reset-socket.js';
 import * as requestBody from '../read-body.js';
+import * as targetAnnouncement from './target-announcement.js';
+import * as targetCrash from './target-crash.js';
+import * as targetFaults from './target-faults.js';
 import type * as rawResponses from './raw-responses.js';
 
-/** Faults in a target's responses, each as a share of the calls that it runs. */
-export interface TargetFaults {
-  /** Runs the call and resets the connection without a response. */
-  lostResponseShare: number;
-  /** Sends an unsolicited second response, with another call's id, after the first. */
-  unsolicitedResponseShare: number;
-  /** Resets the connection after the first 2 bytes of a body with a content-length. */
-  truncatedResponseShare: number;
-  /** Sends a response without a content-length, whose body ends when the connection closes. */
-  closeDelimitedShare: number;
-  /** Resets the connection after the first 2 bytes of a body without a content-length. */
-  truncatedCloseDelimitedShare: number;
-  /** Responds with 500. */
-  errorResponseShare: number;
-}
-
 /** One execution of a call at a target. */
 export interface CallRun {
   callId: string;
@@ -37,12 +24,19 @@
 }
 
 export interface MeshTarget {
+  /** Instance id of the current incarnation. */
   id: string;
   address: string;
   port: number;
   /** Unix time of its start in milliseconds, as in its announcements. */
   bornAt: number;
-  faults: TargetFaults;
+  /** Unix times in milliseconds at which it crashed. */
+  crashes: number[];
+  /** Decides after the service time of a call whether it crashes the target instead. */
+  shouldCrash: ((run: CallRun) => boolean) | undefined;
+  /** Time from a crash to the start of the next incarnation, which has another id. */
+  downMs: number;
+  faults: targetFaults.TargetFaults;
   /** Takes over all calls that arrive while it is set. */
   rawResponder: rawResponses.RawResponder | undefined;
   /**
@@ -87,8 +81,8 @@
 const HTTP_MISDIRECTED = 421;
 const HTTP_UNAVAILABLE = 503;
 const HEARTBEAT_INTERVAL_MS = 500;
-const ANNOUNCE_TIMEOUT_MS = 1_000;
 const DEFAULT_SERVICE_MS = 20;
+const DEFAULT_DOWN_MS = 2_000;
 /** Delay of an unsolicited response, or of the reset of a close-delimited one. */
 const FAULT_DELAY_MS = 5;
 
@@ -100,27 +94,23 @@
  * await target.announce('ready');
  */
 export async function startMeshTarget(options: MeshTargetOptions): Promise<MeshTarget> {
-  const { id, service, address, port, slots, announcements, random } = options;
-  const bornAt = Date.now();
+  const { service, address, port, slots, announcements, random } = options;
   const sockets = new Set<net.Socket>();
   const silentSockets = new WeakSet<net.Socket>();
   let runningCalls = 0;
   let sequence = 0;
+  let isSendingHeartbeats = false;
   let heartbeatTimer: NodeJS.Timeout | undefined;
 
   const target: MeshTarget = {
-    id,
+    id: options.id,
     address,
     port,
-    bornAt,
-    faults: {
-      lostResponseShare: 0,
-      unsolicitedResponseShare: 0,
-      truncatedResponseShare: 0,
-      closeDelimitedShare: 0,
-      truncatedCloseDelimitedShare: 0,
-      errorResponseShare: 0,
-    },
+    bornAt: Date.now(),
+    crashes: [],
+    shouldCrash: undefined,
+    downMs: DEFAULT_DOWN_MS,
+    faults: targetFaults.createNoFaults(),
     rawResponder: undefined,
     isSilentWhenFull: false,
     silentRequests: 0,
@@ -132,42 +122,48 @@
     announce: () => Promise.resolve(0),
     deregister: () => Promise.resolve(0),
     startHeartbeats: () => undefined,
-    stopHeartbeats: () => clearInterval(heartbeatTimer),
+    stopHeartbeats() {
+      isSendingHeartbeats = false;
+      clearInterval(heartbeatTimer);
+    },
     close: () => Promise.resolve(),
   };
 
+  const server = http.createServer((request, response) => {
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- a crash closes the server
+    handleRequest(request, response).catch(() => response.destroy());
+  });
+  server.on('connection', (socket) => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
+  const crash = targetCrash.createTargetCrash({
+    server,
+    sockets,
+    endpoint: { address, port },
+    onRestart() {
+      target.id = `${options.id}-${target.crashes.length + 1}`;
+      target.bornAt = Date.now();
+      sequence = 0;
+      if (isSendingHeartbeats) target.announce('ready').catch(() => undefined);
+    },
+  });
+
   const postAnnouncement = (path: string, body?: object): Promise<number> =>
-    new Promise((resolve) => {
-      const request = http.request(
-        {
-          host: announcements.address,
-          port: announcements.port,
-          method: 'POST',
-          path,
-          timeout: ANNOUNCE_TIMEOUT_MS,
-          agent: false,
-        },
-        (response) => {
-          response.resume();
-          resolve(response.statusCode ?? 0);
-        },
-      );
-      request.on('timeout', () => request.destroy());
-      request.on('error', () => resolve(0));
-      request.end(body && JSON.stringify(body));
-    });
+    crash.isDown() ? Promise.resolve(0) : targetAnnouncement.post(announcements, path, body);
 
   target.announce = (state) => {
     sequence += 1;
-    return postAnnouncement(`/api/Instances.Heartbeat/${id}`, {
+    return postAnnouncement(`/api/Instances.Heartbeat/${target.id}`, {
       addr: `${address}:${options.announcedPort ?? port}`,
-      born: bornAt,
+      born: target.bornAt,
       info: { service, version: 'v1', zone: 'z', maxConcurrency: slots },
       status: { state, sequence, coldRemainingMs: 0 },
     });
   };
-  target.deregister = () => postAnnouncement(`/api/Instances.Deregister/${id}`);
+  target.deregister = () => postAnnouncement(`/api/Instances.Deregister/${target.id}`);
   target.startHeartbeats = () => {
+    isSendingHeartbeats = true;
     target.announce('ready').catch(() => undefined);
     heartbeatTimer = setInterval(() => {
       target.announce('ready').catch(() => undefined);
@@ -180,10 +176,10 @@
     run: CallRun,
   ): void => {
     const { faults } = target;
-    const body = `${run.path}|${run.body}|${id}`;
+    const body = `${run.path}|${run.body}|${target.id}`;
     const headers = {
       'figshed-request-id': run.callId,
-      'figshed-response-signature': `${id}.${run.callId}`,
+      'figshed-response-signature': `${target.id}.${run.callId}`,
       'content-length': Buffer.byteLength(body),
       ...target.noticeHeaders,
     };
@@ -203,7 +199,7 @@
     if (shouldReset || random() < faults.closeDelimitedShare) {
       const head =
         `HTTP/1.1 200 OK\r\nfigshed-request-id: ${run.callId}\r\n` +
-        `figshed-response-signature: ${id}.${run.callId}\r\nconnection: close\r\n\r\n`;
+        `figshed-response-signature: ${target.id}.${run.callId}\r\nconnection: close\r\n\r\n`;
       request.socket.write(head + (shouldReset ? body.slice(0, 2) : body), () => {
         if (shouldReset) setTimeout(() => resetSocket.resetSocket(request.socket), FAULT_DELAY_MS);
         else request.socket.end();
@@ -237,7 +233,7 @@
       ...target.noticeHeaders,
     };
     const expected = request.headers['figshed-expect-instance'];
-    if (expected !== undefined && expected !== id) {
+    if (expected !== undefined && expected !== target.id) {
       request.resume();
       response.writeHead(HTTP_MISDIRECTED, refusalHeaders).end();
       return;
@@ -256,7 +252,7 @@
       target.rawResponder({
         socket: request.socket,
         callId,
-        signature: `${id}.${callId}`,
+        signature: `${target.id}.${callId}`,
         recordRun: () => target.runs.push(run),
       });
       return;
@@ -280,25 +276,23 @@
     try {
       run.body = (await requestBody.readBody(request)).toString();
       await timers.setTimeout(target.serviceMs);
-      if (!response.destroyed) sendResponse(request, response, run);
+      if (response.destroyed) return;
+      if (target.shouldCrash?.(run)) {
+        target.crashes.push(Date.now());
+        crash.crash(target.downMs);
+      } else sendResponse(request, response, run);
     } finally {
       runningCalls -= 1;
     }
   };
 
-  const server = http.createServer((request, response) => {
-    handleRequest(request, response).catch(() => response.destroy());
-  });
-  server.on('connection', (socket) => {
-    sockets.add(socket);
-    socket.once('close', () => sockets.delete(socket));
-  });
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject).listen(port, address, resolve);
   });
   target.close = () =>
     new Promise((resolve) => {
       clearInterval(heartbeatTimer);
+      crash.stop();
       server.close(() => resolve());
       sockets.forEach((socket) => socket.destroy());
     });
