Mesh: a request that crashed two targets is refused on all hosts

Callers saw: one read that crashes each target that runs it ended 23 targets of a service; in the seconds after each round of crashes nearly all calls of the route were refused. In crashing-requests.test.ts 48 to 51 targets crashed within 12 s, 27 to 33 runs began later than 3 s after the third crash (three are allowed), and of the other reads sent later than 6 s after it 119 of 225 were served.

Cause: the mesh had no memory of a crash. A lost connection was a fact of one attempt; the product's own call path has a quarantine, the mesh did not use it.

Change: the host beside the target asks, after an attempt lost its connection, whether the target still listens; a refused connection of a target that has not said that it leaves is a crash. Its requests in flight are suspect: their fingerprints (method, host, path, body, service of the caller) and the incarnation are part of the gossip record of that host, which peers return after a restart. After two crashes the request is refused where it arrives and beside each target, as not run if no attempt of the call ran. A request that a target completes is cleared of the crashes beside which it ran, on all hosts and in both call paths, so that the others that were in flight are not refused. One host, by rendezvous hashing, tries a quarantined request again after 10 s, then at growing intervals.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -53,6 +53,7 @@
 export {
   createQuarantine,
   quarantineDefaults,
+  type ClearedCrashes,
   type TargetCrash,
   type Quarantine,
   type QuarantineOptions,
@@ -94,6 +95,7 @@
   MemberStatus,
   MembershipEffect,
   MembershipOptions,
+  CrashRecord,
   TargetInfo,
   TargetState,
 } from './membership/types.js';
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -60,6 +60,11 @@
   expiresAt: number;
 }
 
+/** Returns whether a record holds facts that its process must get back after a restart. */
+function hasRecallable({ departedTarget, crashes }: types.MemberInfo): boolean {
+  return departedTarget !== undefined || (crashes !== undefined && crashes.length > 0);
+}
+
 /**
  * Creates the membership protocol instance of one process.
  *
@@ -73,7 +78,7 @@
   const watermarks = new Map<string, types.ConfigWatermark>();
   const updateQueue = updates.createUpdateQueue();
   const relays = new Map<number, PingRelay>();
-  /** Records of members before their restart, until they know their departed target again. */
+  /** Records of members before their restart, until they know again what these tell. */
   const previousRecords = new Map<string, types.Member>();
   let self: types.Member = {
     id: input.id,
@@ -100,8 +105,8 @@
   };
 
   const updatePreviousRecord = (previous: types.Member, member: types.Member): void => {
-    if (member.info.departedTarget !== undefined) previousRecords.delete(member.id);
-    else if (previous.info.departedTarget !== undefined) previousRecords.set(member.id, previous);
+    if (hasRecallable(member.info)) previousRecords.delete(member.id);
+    else if (hasRecallable(previous.info)) previousRecords.set(member.id, previous);
   };
 
   const storeMember = (member: types.Member, now: number): types.MembershipEffect[] => {
@@ -125,7 +130,7 @@
 
   const refuteRecord = (record: types.Member, now: number): types.MembershipEffect[] => {
     const { info } = record;
-    if (info.instance !== self.info.instance && info.departedTarget !== undefined)
+    if (info.instance !== self.info.instance && hasRecallable(info))
       return [{ type: 'self-recalled', info }];
     if (record.incarnation < self.incarnation || self.status === 'left') return [];
     if (record.incarnation === self.incarnation && record.status === 'alive') return [];
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -1,3 +1,5 @@
+import type * as quarantine from '../health/quarantine.js';
+
 /**
  * Liveness of a member. At the same incarnation, a later status in this order overrides an earlier
  * one.
@@ -16,6 +18,13 @@
   isCold?: boolean | undefined;
 }
 
+/** Requests that were in flight when a target crashed. */
+export interface CrashRecord {
+  /** Incarnation of the target. */
+  target: string;
+  fingerprints: string[];
+}
+
 export interface MemberInfo {
   /** ID of the process; changes with each restart. */
   instance: string;
@@ -29,6 +38,10 @@
   target: TargetInfo | null;
   /** Instance id of the last target of the member that has left; undefined if none has. */
   departedTarget?: string | undefined;
+  /** Crashes of the member's targets that others must know of; undefined if there are none. */
+  crashes?: CrashRecord[] | undefined;
+  /** Requests that the member saw completed after crashes; undefined if there are none. */
+  cleared?: quarantine.ClearedCrashes[] | undefined;
 }
 
 /** Record of one member, disseminated by gossip. */
--- a/packages/core/src/mesh/call-machine.ts
+++ b/packages/core/src/mesh/call-machine.ts
@@ -13,6 +13,8 @@
   | { type: 'no-target' }
   /** The attempt was refused; it has not run and will not run. */
   | { type: 'refused'; reason: types.RefusalReason; retryAfterMs: number }
+  /** Requests like this one crashed targets, so no attempt was sent. */
+  | { type: 'quarantined'; retryAfterMs: number }
   /** The attempt ended without a response; it may have run. */
   | { type: 'broken' }
   /** The host of an open attempt has not acknowledged it in time; the attempt may still run. */
@@ -167,11 +169,18 @@
       const mayContinue = event.reason !== 'target-refused' || policy.takeRetry();
       if (openAttempts > 0) return [];
       if (isStreaming) return abort();
-      if (!mayContinue || skippedHosts >= MAX_SKIPPED_HOSTS) return rejectCall();
+      const isFinal = !mayContinue || event.reason === 'quarantined';
+      if (isFinal || skippedHosts >= MAX_SKIPPED_HOSTS) return rejectCall();
       if (targetRefusals >= MAX_TARGET_REFUSALS || lateRefusals >= policy.maxLateRefusals)
         return rejectCall();
       return refusals >= policy.maxRefusals && !isLate ? sendAsLate() : send();
     },
+    quarantined(event) {
+      openAttempts -= 1;
+      retryAfterMs = event.retryAfterMs;
+      if (openAttempts > 0) return [];
+      return isStreaming ? abort() : rejectCall();
+    },
     broken() {
       openAttempts -= 1;
       attemptsRun += 1;
--- a/packages/core/src/mesh/types.ts
+++ b/packages/core/src/mesh/types.ts
@@ -52,6 +52,7 @@
   | 'target-down'
   | 'wrong-instance'
   | 'target-refused'
+  | 'quarantined'
   | 'unreachable';
 
 /** Load report of a target, which its proxy attaches to each response. */
--- a/packages/core/test/mesh-call-machine.test.ts
+++ b/packages/core/test/mesh-call-machine.test.ts
@@ -31,6 +31,7 @@
   'target-down',
   'wrong-instance',
   'target-refused',
+  'quarantined',
   'unreachable',
 ];
 
@@ -40,6 +41,7 @@
   fc.constant<CallEvent>({ type: 'broken' }),
   fc.boolean().map((isFailure): CallEvent => ({ type: 'answered', isFailure })),
   fc.constant<CallEvent>({ type: 'no-target' }),
+  fc.constant<CallEvent>({ type: 'quarantined', retryAfterMs: 0 }),
   fc.constant<CallEvent>({ type: 'overdue' }),
   fc.constant<CallEvent>({ type: 'unacknowledged' }),
   fc.boolean().map((isUnsent): CallEvent => ({ type: 'timeout', isUnsent })),
@@ -56,7 +58,7 @@
 }
 
 /** Events that end one open attempt. */
-const attemptEndTypes = new Set(['refused', 'broken', 'answered', 'no-target']);
+const attemptEndTypes = new Set(['refused', 'broken', 'answered', 'no-target', 'quarantined']);
 const finalEffectTypes = new Set(['answer', 'deliver', 'abort']);
 
 function runEvents(machine: mesh.CallStateMachine, events: readonly CallEvent[]): CallSummary {
--- a/packages/core/test/routing.test.ts
+++ b/packages/core/test/routing.test.ts
@@ -185,4 +185,56 @@
     assert.equal(quarantine.isQuarantined('f', 2), true);
     assert.equal(quarantine.isQuarantined('f', core.quarantineDefaults.ttlMs + 2), false);
   });
+
+  it('does not count crashes beside a request that has been completed since', () => {
+    const quarantine = core.createQuarantine(core.quarantineDefaults);
+    const listCrashes = (fingerprint: string, ...deathIds: string[]): core.TargetCrash[] =>
+      deathIds.map((deathId) => ({ fingerprint, deathId, at: 0 }));
+    quarantine.recordCrashes([...listCrashes('a', 'd1'), ...listCrashes('b', 'd1')], 0);
+    const cleared = quarantine.recordCompletion('a', 1);
+    assert.deepEqual(cleared, { fingerprint: 'a', deathIds: ['d1'] });
+    assert.equal(quarantine.recordCompletion('a', 1), undefined);
+    quarantine.recordCrashes([...listCrashes('a', 'd1', 'd2'), ...listCrashes('b', 'd2')], 2);
+    assert.equal(quarantine.isQuarantined('a', 3), false);
+    assert.equal(quarantine.isQuarantined('b', 3), true);
+    quarantine.recordCrashes(listCrashes('a', 'd3'), 3);
+    assert.equal(quarantine.isQuarantined('a', 3), true);
+  });
+
+  it('is the same whatever the order of crashes and completions', () => {
+    const crashes = ['d1', 'd2'].map((deathId) => ({ fingerprint: 'f', deathId, at: 0 }));
+    const cleared = [{ fingerprint: 'f', deathIds: ['d1'] }];
+    const before = core.createQuarantine(core.quarantineDefaults);
+    before.recordCleared(cleared, 0);
+    before.recordCrashes(crashes, 0);
+    const after = core.createQuarantine(core.quarantineDefaults);
+    after.recordCrashes(crashes, 0);
+    after.recordCleared(cleared, 0);
+    [before, after].forEach((quarantine) => {
+      assert.deepEqual(quarantine.list(1), [{ fingerprint: 'f', deaths: 1, quarantined: false }]);
+    });
+  });
+
+  it('allows trials at growing intervals, counted from the last crash', () => {
+    const { firstTrialMs, trialBackOffFactor } = core.quarantineDefaults;
+    const quarantine = core.createQuarantine(core.quarantineDefaults);
+    quarantine.recordCrashes([{ fingerprint: 'f', deathId: 'd1', at: 0 }], 0);
+    assert.equal(quarantine.getNextTrialAt('f', 1), Number.POSITIVE_INFINITY);
+    quarantine.recordCrashes([{ fingerprint: 'f', deathId: 'd2', at: 5 }], 5);
+    assert.equal(quarantine.getNextTrialAt('f', 5), firstTrialMs + 5);
+    quarantine.recordTrial('f');
+    assert.equal(quarantine.getNextTrialAt('f', 5), firstTrialMs * trialBackOffFactor + 5);
+  });
+
+  it('needs no requests identified once all crashes are cleared or expired', () => {
+    const quarantine = core.createQuarantine(core.quarantineDefaults);
+    assert.equal(quarantine.hasSuspects(), false);
+    quarantine.recordCrashes([{ fingerprint: 'f', deathId: 'd1', at: 0 }], 0);
+    assert.equal(quarantine.hasSuspects(), true);
+    quarantine.recordCompletion('f', 1);
+    assert.equal(quarantine.hasSuspects(), false);
+    quarantine.recordCrashes([{ fingerprint: 'g', deathId: 'd1', at: 2 }], 2);
+    quarantine.recordCrashes([], core.quarantineDefaults.ttlMs + 2);
+    assert.equal(quarantine.hasSuspects(), false);
+  });
 });
--- a/packages/proxy/src/egress/egress.ts
+++ b/packages/proxy/src/egress/egress.ts
@@ -49,6 +49,8 @@
    */
   onConnectionFailure(fingerprints: string[]): void;
   isQuarantined(fingerprint: string): boolean;
+  /** Called when the target has completed a request. */
+  onCompleted(fingerprint: string): void;
 }
 
 /** An attempt that waits for a slot or runs. */
@@ -190,6 +192,7 @@
         handler.onData(chunk);
       },
       onEnd() {
+        dependencies.onCompleted(request.fingerprint);
         recordDone(attempt);
         handler.onEnd();
         finish(attempt);
--- a/packages/proxy/src/gossip-schemas.ts
+++ b/packages/proxy/src/gossip-schemas.ts
@@ -10,6 +10,21 @@
   isCold: z.boolean().optional(),
 });
 
+/** Longest lists of crashes in a record, and of the requests or targets of each. */
+export const MAX_CRASH_RECORDS = 4;
+export const MAX_FINGERPRINTS_PER_CRASH = 32;
+export const MAX_CLEARED_REQUESTS = 16;
+
+const crashSchema = z.object({
+  target: z.string(),
+  fingerprints: z.array(z.string()).max(MAX_FINGERPRINTS_PER_CRASH),
+});
+
+const clearedSchema = z.object({
+  fingerprint: z.string(),
+  deathIds: z.array(z.string()).max(MAX_FINGERPRINTS_PER_CRASH),
+});
+
 /** Schema of a member record received from another process. */
 export const memberSchema = z.object({
   id: z.string(),
@@ -25,6 +40,8 @@
     ready: z.boolean(),
     target: targetSchema.nullable(),
     departedTarget: z.string().optional(),
+    crashes: z.array(crashSchema).max(MAX_CRASH_RECORDS).optional(),
+    cleared: z.array(clearedSchema).max(MAX_CLEARED_REQUESTS).optional(),
   }),
 });
 
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -10,6 +10,7 @@
 import * as eventLoop from '../event-loop.js';
 import type * as peerClient from './peer-client.js';
 import type * as localTarget from './local-target.js';
+import type * as requestQuarantine from './request-quarantine.js';
 import * as serviceRetryBudgets from './service-retry-budgets.js';
 import type * as targetTable from './target-table.js';
 import * as requestBodies from './request-body.js';
@@ -27,6 +28,7 @@
   targets: targetTable.TargetTable;
   target: localTarget.LocalTarget;
   peers: peerClient.PeerClient;
+  quarantine: requestQuarantine.RequestQuarantine;
   byteBudget: bodyReader.ByteBudget;
   /** Returns the number of processes that share the retry budget. */
   countProcesses: () => number;
@@ -50,7 +52,7 @@
  * const handleDisconnect = createCallRunner(input).run(call, responder);
  */
 export function createCallRunner(input: CallRunnerInput): CallRunner {
-  const { ctx, targets, target, peers, byteBudget, countProcesses } = input;
+  const { ctx, targets, target, peers, quarantine, byteBudget, countProcesses } = input;
   const { settings, clock, metrics } = ctx;
   const splitter = mesh.createTrafficSplitter(ctx.random);
   const retryBudgets = serviceRetryBudgets.createServiceRetryBudgets(settings, countProcesses);
@@ -206,12 +208,13 @@
         });
         handleEvent({ type: 'refused', reason, retryAfterMs });
       },
-      onBroken(cause) {
+      onBroken(cause, crashedTarget) {
+        if (crashedTarget !== undefined) quarantine.recordCrash(crashedTarget, call);
         if (!attempts.settle(attemptNumber)) return;
         logger.logAttempt(call, {
           hostId,
           result: 'broken',
-          cause,
+          cause: crashedTarget === undefined ? cause : 'target-crashed',
           tookMs: clock.monotonic() - openedAt,
         });
         handleEvent({ type: 'broken' });
@@ -244,6 +247,11 @@
         handleEvent({ type: 'no-target' });
         return;
       }
+      const verdict = quarantine.check(call);
+      if (verdict.type === 'quarantined') {
+        handleEvent(verdict);
+        return;
+      }
       const placement = targets.chooseTarget(service, triedHosts, {
         kilobytes:
           (responseSizes.getMeanBytes(route.name) + (requestBodies.measureBody(call.body) ?? 0)) /
@@ -273,6 +281,7 @@
         bodyBytes: requestBodies.measureBody(call.body),
         isStreamed: !Buffer.isBuffer(call.body),
         mayBeLate,
+        isTrial: verdict.isTrial,
         rank: call.isNested ? NESTED_CALL_RANK : route.rank,
         objectiveAt,
         deadlineAt,
--- a/packages/proxy/src/mesh/gossip-codec.ts
+++ b/packages/proxy/src/mesh/gossip-codec.ts
@@ -10,7 +10,7 @@
 const targetStates: readonly core.TargetState[] = ['up', 'draining', 'down'];
 
 /**
- * Longest array of a datagram; the decoder allocates the stated length of each. A record has 11 fields,
+ * Longest array of a datagram; the decoder allocates the stated length of each. A record has 13 fields,
  * and a datagram carries about as many members.
  */
 const MAX_ARRAY_LENGTH = 64;
@@ -35,19 +35,51 @@
   };
 }
 
+/** Stands for no departed target in a record that has crashes, which follow it. */
+const NO_DEPARTED_TARGET = '';
+
+/** Packs the fields that most records lack; trailing ones that are missing are left out. */
+function packObservations({ departedTarget, crashes = [], cleared = [] }: core.MemberInfo): Row {
+  if (crashes.length + cleared.length === 0)
+    return departedTarget === undefined ? [] : [departedTarget];
+  return [
+    departedTarget ?? NO_DEPARTED_TARGET,
+    crashes.map(({ target, fingerprints }) => [target, ...fingerprints]),
+    cleared.map(({ fingerprint, deathIds }) => [fingerprint, ...deathIds]),
+  ];
+}
+
+function unpackObservations([departedTarget, crashes, cleared]: Row): object {
+  return {
+    departedTarget: departedTarget === NO_DEPARTED_TARGET ? undefined : departedTarget,
+    crashes: (crashes as Row[] | undefined)?.map(([target, ...fingerprints]) => ({
+      target,
+      fingerprints,
+    })),
+    cleared: (cleared as Row[] | undefined)?.map(([fingerprint, ...deathIds]) => ({
+      fingerprint,
+      deathIds,
+    })),
+  };
+}
+
 function packMember({ id, incarnation, status, info }: core.Member): Row {
   const { instance, dataCentre, region, address, callerPort, peerPort, ready, target } = info;
-  const departed = info.departedTarget === undefined ? [] : [info.departedTarget];
   const location = [instance, dataCentre, region, address, callerPort, peerPort];
-  const state = [ready, packTarget(target), ...departed];
+  const state = [ready, packTarget(target), ...packObservations(info)];
   return [id, incarnation, memberStatuses.indexOf(status), ...location, ...state];
 }
 
 function unpackMember(row: Row): unknown {
   const [id, incarnation, status, instance, dataCentre, region, address, ...rest] = row;
-  const [callerPort, peerPort, ready, target, departedTarget] = rest;
+  const [callerPort, peerPort, ready, target, ...observations] = rest;
   const location = { instance, dataCentre, region, address, callerPort, peerPort };
-  const info = { ...location, ready, target: unpackTarget(target as Row | null), departedTarget };
+  const info = {
+    ...location,
+    ready,
+    target: unpackTarget(target as Row | null),
+    ...unpackObservations(observations),
+  };
   return { id, incarnation, status: memberStatuses[Number(status)], info };
 }
 
--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -3,11 +3,13 @@
 import * as mesh from '@figshed/core/mesh';
 import * as upstreamResponse from './upstream-response.js';
 import * as constants from './constants.js';
+import * as crashDetectors from './crash-detector.js';
 import type * as context from './context.js';
 import * as keepAliveAgent from './keep-alive-agent.js';
 import * as localTargetGate from './local-target-gate.js';
 import * as meshHeaders from './mesh-headers.js';
 import * as requestBodies from './request-body.js';
+import type * as requestQuarantine from './request-quarantine.js';
 import * as responseBytes from './response-bytes.js';
 import * as silenceMonitor from './silence-monitor.js';
 import * as slotUsages from './slot-usage.js';
@@ -48,6 +50,9 @@
 /** Idle time-out of connections to the target; less than half of the targets' own time-out. */
 const TARGET_IDLE_TIMEOUT_MS = 4_000;
 
+/** Errors of a request whose connection the target has closed or reset. */
+const lostConnectionCodes: ReadonlySet<string | undefined> = new Set(['ECONNRESET', 'EPIPE']);
+
 interface LocalAttempt {
   attempt: types.Attempt;
   handler: types.AttemptHandler;
@@ -55,6 +60,8 @@
   request: http.ClientRequest | undefined;
   /** Where and when it was sent; undefined until then. */
   sent: silenceMonitor.SentAttempt | undefined;
+  /** Body that was sent; undefined until then. */
+  body: requestBodies.RequestBody | undefined;
   receivedAt: number;
   isCancelled: boolean;
 }
@@ -62,6 +69,7 @@
 export interface LocalTargetInput {
   ctx: context.MeshContext;
   endpoint: core.Endpoint;
+  quarantine: requestQuarantine.RequestQuarantine;
   /** Called when the target becomes available or unavailable, is replaced, or is no longer cold. */
   onChange: () => void;
 }
@@ -73,7 +81,7 @@
  * const target = createLocalTarget({ ctx, endpoint: settings.target, onChange });
  */
 export function createLocalTarget(input: LocalTargetInput): LocalTarget {
-  const { ctx, endpoint, onChange } = input;
+  const { ctx, endpoint, quarantine, onChange } = input;
   const { clock, log, metrics, protocol } = ctx;
   const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults);
   const agent = keepAliveAgent.createAgent(TARGET_IDLE_TIMEOUT_MS);
@@ -160,23 +168,60 @@
     else release();
   };
 
-  const failAttempt = (key: string, cause: string): void => {
+  const crashes = crashDetectors.createCrashDetector({
+    ctx,
+    endpoint,
+    onCrash(target, fingerprints) {
+      log.warn('target-crashed', { target: target.id, attempts: fingerprints.length });
+      metrics.count('target_crashes_total');
+      gate.markDown(target, 'crashed');
+      quarantine.recordOwnCrash(mesh.formatIncarnation(target), fingerprints);
+    },
+  });
+
+  /**
+   * Finds out whether an attempt lost its connection since the target has crashed. A target that has
+   * said that it leaves ends as planned.
+   */
+  const findCrashedTarget = async ({
+    sent,
+    attempt,
+    body,
+  }: LocalAttempt): Promise<string | undefined> => {
+    if (!sent || body === undefined) return undefined;
+    const incarnation = mesh.formatIncarnation(sent.target);
+    if (incarnation === gate.getDeparted()) return undefined;
+    const hasCrashed = await crashes.recordLoss(sent.target, () =>
+      quarantine.computeFingerprint({ ...attempt, body }),
+    );
+    return hasCrashed ? incarnation : undefined;
+  };
+
+  const failAttempt = (key: string, cause: string, isConnectionLost = false): void => {
     const entry = openAttempts.get(key);
     if (!entry) return;
     openAttempts.delete(key);
     updateFailureShare(true);
     metrics.count('attempts_broken_total');
-    log.warn('attempt-broken', {
-      call: entry.attempt.callId,
-      cause,
-      target: entry.sent?.target.id,
-    });
-    entry.handler.onBroken(cause);
+    const reportBroken = (crashedTarget?: string): void => {
+      log.warn('attempt-broken', {
+        call: entry.attempt.callId,
+        cause,
+        target: entry.sent?.target.id,
+        crashed: crashedTarget !== undefined || undefined,
+      });
+      entry.handler.onBroken(cause, crashedTarget);
+    };
+    if (isConnectionLost)
+      findCrashedTarget(entry)
+        .then(reportBroken)
+        .catch((error: Error) => log.error('crash-check-failed', { message: error.message }));
+    else reportBroken();
     releaseAbandonedSlot(key, entry, 'failed');
   };
 
-  const refuseStarted = (key: string, reason: mesh.RefusalReason): void => {
-    refuse(key, reason);
+  const refuseStarted = (key: string, reason: mesh.RefusalReason, retryAfterMs = 0): void => {
+    refuse(key, reason, retryAfterMs);
     releaseSlot(key);
   };
 
@@ -231,6 +276,8 @@
     const status = message.statusCode ?? 0;
     const settleAttempt = (): void => {
       if (!openAttempts.delete(key)) return;
+      if (isComplete() && entry.body !== undefined)
+        quarantine.recordCompletion({ ...entry.attempt, body: entry.body });
       const tookMs = clock.monotonic() - sentAt;
       slotUsage.record(entry.attempt.route, classifyOutcome(entry, status, isComplete()), tookMs);
       updateFailureShare(!isComplete() || status >= constants.HTTP.firstServerError);
@@ -260,6 +307,12 @@
       return;
     }
     const { attempt } = entry;
+    const retryAfterMs = quarantine.getRetryAfterMs({ ...attempt, body });
+    if (retryAfterMs !== undefined && !attempt.isTrial) {
+      refuseStarted(key, 'quarantined', retryAfterMs);
+      return;
+    }
+    entry.body = body;
     let isConnected = false;
     entry.sent = {
       callId: attempt.callId,
@@ -282,7 +335,7 @@
     request.once('close', () => {
       clearTimeout(overrunTimer);
       // Node.js emits neither a response nor an error for a 101 that nobody requested.
-      if (!hasResponse) failAttempt(key, 'closed');
+      if (!hasResponse) failAttempt(key, 'closed', true);
     });
     keepAliveAgent.watchConnect(
       request,
@@ -298,12 +351,13 @@
       message.on('error', () => undefined);
       handleResponse(key, message, upstreamResponse.trackCompletion(request, message));
     });
-    request.on('error', (error) => {
+    request.on('error', (error: NodeJS.ErrnoException) => {
       if (!openAttempts.has(key)) return;
       if (isConnected) {
-        failAttempt(key, error.message);
+        failAttempt(key, error.message, lostConnectionCodes.has(error.code));
         return;
       }
+      if (error.code === 'ECONNREFUSED') crashes.recordRefusedConnection(target);
       gate.markDown(target, error.message);
       refuseStarted(key, 'target-down');
     });
@@ -367,6 +421,7 @@
         handler,
         request: undefined,
         sent: undefined,
+        body: undefined,
         receivedAt: now,
         isCancelled: false,
       });
--- a/packages/proxy/src/mesh/mesh-headers.ts
+++ b/packages/proxy/src/mesh/mesh-headers.ts
@@ -7,6 +7,7 @@
 const LOAD_HEADER = `${PROXY_HEADER_PREFIX}load`;
 const REFUSED_HEADER = `${PROXY_HEADER_PREFIX}refused`;
 const BROKEN_HEADER = `${PROXY_HEADER_PREFIX}broken`;
+const CRASHED_HEADER = `${PROXY_HEADER_PREFIX}crashed`;
 const LEAVING_HEADER = `${PROXY_HEADER_PREFIX}leaving`;
 
 /** Hop-by-hop headers and content-length: each hop frames the body anew. */
@@ -26,6 +27,8 @@
   bodyBytes?: number | undefined;
   /** True if the body is streamed; processes of older versions buffer it. */
   isStreamed?: boolean | undefined;
+  /** True if the request is quarantined and tried once more. */
+  isTrial?: boolean | undefined;
 }
 
 /**
@@ -129,9 +132,13 @@
   return { reason: reason as mesh.RefusalReason, retryAfterMs: Number(retryAfter) || 0 };
 }
 
-/** Formats the cause of an attempt that ended without a response as a header. */
-export function formatBrokenCause(cause: string): string[] {
-  return [BROKEN_HEADER, cause.replace(/[^\w.:-]/g, '_')];
+/** Formats the cause of an attempt that ended without a response, and the target that crashed. */
+export function formatBrokenCause(cause: string, crashedTarget: string | undefined): string[] {
+  return [
+    BROKEN_HEADER,
+    cause.replace(/[^\w.:-]/g, '_'),
+    ...(crashedTarget === undefined ? [] : [CRASHED_HEADER, crashedTarget]),
+  ];
 }
 
 /** Returns undefined if the header is missing. */
@@ -140,6 +147,12 @@
   return typeof header === 'string' ? header : undefined;
 }
 
+/** Returns the incarnation of the target that crashed; undefined if the header is missing. */
+export function parseCrashedTarget(headers: NodeJS.Dict<string | string[]>): string | undefined {
+  const header = headers[CRASHED_HEADER];
+  return typeof header === 'string' ? header : undefined;
+}
+
 /** Formats the incarnation of a leaving target as a header; none if it is undefined. */
 export function formatLeavingTarget(leavingTarget: string | undefined): string[] {
   return leavingTarget === undefined ? [] : [LEAVING_HEADER, leavingTarget];
--- a/packages/proxy/src/mesh/peer-client.ts
+++ b/packages/proxy/src/mesh/peer-client.ts
@@ -98,6 +98,7 @@
           deadlineMs: Math.round(attempt.deadlineAt - now),
           bodyBytes: attempt.bodyBytes,
           isStreamed: attempt.isStreamed,
+          isTrial: attempt.isTrial || undefined,
         }),
         ...(attempt.isRepeatable ? [] : ['Expect', '100-continue', 'Transfer-Encoding', 'chunked']),
       ],
@@ -189,7 +190,7 @@
         // Without its whole body, the request cannot complete and its connection cannot be reused.
         if (!request.writableFinished) request.destroy();
         if (refusal) handler.onRefused(refusal.reason, refusal.retryAfterMs);
-        else handler.onBroken(brokenCause ?? '');
+        else handler.onBroken(brokenCause ?? '', meshHeaders.parseCrashedTarget(message.headers));
         return;
       }
       if (message.headers[protocol.callIdHeader] !== attempt.callId) {
--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -176,8 +176,9 @@
       // Reads a late body to its end, so that closing the connection does not reset the response.
       bodyReader.drainBody(request);
     },
-    onBroken(cause) {
-      sendEmptyResponse(response, constants.HTTP.badGateway, meshHeaders.formatBrokenCause(cause));
+    onBroken(cause, crashedTarget) {
+      const headers = meshHeaders.formatBrokenCause(cause, crashedTarget);
+      sendEmptyResponse(response, constants.HTTP.badGateway, headers);
     },
   });
 
@@ -261,6 +262,7 @@
           bodyBytes: metadata.bodyBytes,
           isStreamed,
           mayBeLate: metadata.mayBeLate,
+          isTrial: metadata.isTrial ?? false,
           rank: metadata.rank,
           objectiveAt: now + metadata.objectiveMs,
           deadlineAt: now + metadata.deadlineMs,
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -13,6 +13,7 @@
 import * as loadMonitors from './load-monitor.js';
 import * as peerClient from './peer-client.js';
 import * as peerServer from './peer-server.js';
+import * as requestQuarantine from './request-quarantine.js';
 import * as stallMonitors from './stall-monitor.js';
 import * as auxiliaryServers from './auxiliary-servers.js';
 import * as localTarget from './local-target.js';
@@ -102,10 +103,16 @@
     ctx,
     hostRegistry: adapter.hostRegistry,
     sourceEpoch: adapter.sourceEpoch,
-    onChange: (member) => targets.setMember(member),
-    onRecalled({ departedTarget }) {
+    onChange(member) {
+      targets.setMember(member);
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- tasks depend on one another
-      if (departedTarget !== undefined) target.recallDeparted(departedTarget);
+      quarantine.applyMember(member.info);
+    },
+    onRecalled(info) {
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
+      if (info.departedTarget !== undefined) target.recallDeparted(info.departedTarget);
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
+      quarantine.recall(info);
     },
     onVersion: configuration.recordVersion,
   });
@@ -124,8 +131,19 @@
     };
   };
 
+  const quarantine = requestQuarantine.createRequestQuarantine({
+    ctx,
+    listHostIds: () =>
+      members
+        .list()
+        .filter(({ status }) => status === 'alive')
+        .map(({ id }) => id),
+    onChange: () => members.setInfo(quarantine.getRecords()),
+  });
+
   const target = localTarget.createLocalTarget({
     ctx,
+    quarantine,
     endpoint: settings.target,
     onChange: () =>
       members.setInfo({
@@ -139,6 +157,7 @@
     targets,
     target,
     peers,
+    quarantine,
     byteBudget,
     countProcesses: () =>
       Math.max(1, members.list().filter(({ status }) => status === 'alive').length),
--- /dev/null
+++ b/packages/proxy/src/mesh/request-fingerprint.ts
@@ -0,0 +1,40 @@
+import * as crypto from 'node:crypto';
+import * as requestBodies from './request-body.js';
+
+/** What identifies a request that comes again under another call ID. */
+export interface RequestIdentity {
+  method: string;
+  path: string;
+  /** Alternating names and values. */
+  headers: readonly string[];
+  body: requestBodies.RequestBody;
+}
+
+/** 64 bits; collisions only matter among the requests of the last crashes. */
+const FINGERPRINT_BYTES = 8;
+const SEPARATOR = '\n';
+
+function getHeader(headers: readonly string[], name: string): string {
+  const index = headers.findIndex(
+    (item, position) => position % 2 === 0 && item.toLowerCase() === name,
+  );
+  return headers[index + 1] ?? '';
+}
+
+/**
+ * Computes the fingerprint of a request, from its method, host, path, body and the service of its
+ * caller. A streamed body, which is never held whole, is represented by its length.
+ *
+ * @example
+ * computeFingerprint(call, protocol.callerServiceHeader); // 'nDGtYsUx0cA'
+ */
+export function computeFingerprint(request: RequestIdentity, callerServiceHeader: string): string {
+  const { method, path, headers, body } = request;
+  const callerService = getHeader(headers, callerServiceHeader);
+  const hash = crypto.createHash('sha1');
+  hash.update([method, getHeader(headers, 'host'), path, callerService, ''].join(SEPARATOR));
+  hash.update(
+    Buffer.isBuffer(body) ? body : `streamed ${requestBodies.measureBody(body) ?? 'in chunks'}`,
+  );
+  return hash.digest().subarray(0, FINGERPRINT_BYTES).toString('base64url');
+}
--- a/packages/proxy/src/mesh/types.ts
+++ b/packages/proxy/src/mesh/types.ts
@@ -111,6 +111,8 @@
   rank: number;
   /** True for a late call, whose response may come after its latency objective. */
   mayBeLate: boolean;
+  /** True if its request is quarantined and tried once more. */
+  isTrial: boolean;
   /** Monotonic times in milliseconds. */
   objectiveAt: number;
   deadlineAt: number;
@@ -125,7 +127,8 @@
   provideBody(): Promise<requestBody.RequestBody | undefined>;
   onResponse(upstream: upstreamResponse.UpstreamResponse): void;
   onRefused(reason: mesh.RefusalReason, retryAfterMs: number): void;
-  onBroken(cause: string): void;
+  /** `crashedTarget` is the incarnation of the target, if it has crashed while the attempt ran. */
+  onBroken(cause: string, crashedTarget?: string): void;
 }
 
 export interface CancellableAttempt {
--- a/packages/proxy/src/process.ts
+++ b/packages/proxy/src/process.ts
@@ -91,7 +91,7 @@
   const { clock, log, bus } = ctx;
   const health = healthTask.createHealthTask(ctx);
   const gossip = gossipTask.createGossipTask(ctx);
-  const target = targetTask.createTargetTask(ctx, health.isQuarantined);
+  const target = targetTask.createTargetTask(ctx, health);
   const config = configTask.createConfigTask(ctx, gossip);
   const delegate = delegateTask.createDelegateTask(ctx, gossip, config);
   const orders = orderTask.createOrderTask(ctx, gossip);
--- a/packages/proxy/src/tasks/health-task.ts
+++ b/packages/proxy/src/tasks/health-task.ts
@@ -20,9 +20,18 @@
     .max(MAX_CRASHES_PER_REPORT),
 });
 
+const completionReportSchema = z.object({
+  dataCentre: z.string(),
+  cleared: z
+    .array(z.object({ fingerprint: z.string(), deathIds: z.array(z.string()) }))
+    .max(MAX_CRASHES_PER_REPORT),
+});
+
 /** Quarantine of requests that crash targets, by the crashes that this process has recorded. */
 export interface HealthTask {
   isQuarantined(fingerprint: string): boolean;
+  /** Records that the target beside this process has completed a request. */
+  recordCompletion(fingerprint: string): void;
   /** Lists the fingerprints of requests during which targets crashed. */
   listFingerprints(): ReturnType<core.Quarantine['list']>;
   /** Sets the tasks that list the receivers of crash reports; until then none are sent. */
@@ -43,14 +52,13 @@
   });
   let listReceivers: (isLocalReport: boolean) => core.Member[] = () => [];
 
-  const sendReport = (crashes: core.TargetCrash[], isLocalReport: boolean): void => {
+  const sendReport = (method: string, report: object, isLocalReport: boolean): void => {
     listReceivers(isLocalReport).forEach(({ info }) => {
-      const peer = ctx.resolveEndpoint(info);
       peerClient
         .request(
-          peer,
-          'health.deaths',
-          { dataCentre: settings.dataCentre, deaths: crashes },
+          ctx.resolveEndpoint(info),
+          method,
+          { dataCentre: settings.dataCentre, ...report },
           REPORT_TIMEOUT_MS,
         )
         .catch(() => metrics.increment('health.send-failures'));
@@ -72,7 +80,7 @@
 
   bus.on('target-crashed', ({ crashes }) => {
     const newCrashes = recordCrashes(crashes);
-    if (newCrashes.length > 0) sendReport(newCrashes, true);
+    if (newCrashes.length > 0) sendReport('health.deaths', { deaths: newCrashes }, true);
   });
 
   ctx.peerServer.addMethods({
@@ -82,13 +90,26 @@
       // A report from another data centre arrives at one process here, which forwards it to the
       // others.
       if (newCrashes.length > 0 && dataCentre !== settings.dataCentre)
-        sendReport(newCrashes, false);
+        sendReport('health.deaths', { deaths: newCrashes }, false);
+      return {};
+    },
+    'health.completions': (params) => {
+      const { dataCentre, cleared } = completionReportSchema.parse(params);
+      quarantine.recordCleared(cleared, clock.now());
+      if (dataCentre !== settings.dataCentre) sendReport('health.completions', { cleared }, false);
       return {};
     },
   });
 
   return {
     isQuarantined: (fingerprint) => quarantine.isQuarantined(fingerprint, clock.now()),
+    recordCompletion(fingerprint) {
+      if (!quarantine.hasSuspects()) return;
+      const completed = quarantine.recordCompletion(fingerprint, clock.now());
+      if (!completed) return;
+      log.info('request-cleared', { fingerprint });
+      sendReport('health.completions', { cleared: [completed] }, true);
+    },
     listFingerprints: () => quarantine.list(clock.now()),
     setReceiverSources(gossip, delegate) {
       listReceivers = (isLocalReport) => [
--- a/packages/proxy/src/tasks/target-task.ts
+++ b/packages/proxy/src/tasks/target-task.ts
@@ -8,6 +8,7 @@
 import * as zod from 'zod';
 import type * as context from '../context.js';
 import * as targetEgress from '../egress/egress.js';
+import type * as healthTask from './health-task.js';
 
 const { z } = zod;
 
@@ -53,11 +54,11 @@
  * Creates the target task.
  *
  * @example
- * const target = createTargetTask(context, health.isQuarantined);
+ * const target = createTargetTask(context, health);
  */
 export function createTargetTask(
   ctx: context.Context,
-  isQuarantined: (fingerprint: string) => boolean,
+  health: Pick<healthTask.HealthTask, 'isQuarantined' | 'recordCompletion'>,
 ): TargetTask {
   const { settings, clock, log, bus, metrics, instance } = ctx;
   let target: targetEgress.AnnouncedTarget | null = null;
@@ -106,7 +107,8 @@
   };
 
   const egress = targetEgress.createEgress(ctx, {
-    isQuarantined,
+    isQuarantined: health.isQuarantined,
+    onCompleted: health.recordCompletion,
     onConnectionFailure(fingerprints) {
       lostFingerprints.push(...fingerprints);
       if (isCheckPending) return;
--- a/packages/proxy/test/abandoned-orders.test.ts
+++ b/packages/proxy/test/abandoned-orders.test.ts
@@ -23,6 +23,7 @@
     const egress = targetEgress.createEgress(ctx, {
       onConnectionFailure: () => undefined,
       isQuarantined: () => false,
+      onCompleted: () => undefined,
     });
     egress.setTarget({
       service: 'catalogue',
--- a/packages/proxy/test/mesh-gossip-codec.test.ts
+++ b/packages/proxy/test/mesh-gossip-codec.test.ts
@@ -49,6 +49,26 @@
     assert.equal(decode(message).mark.epoch, undefined);
   });
 
+  it('decodes crashes and completions, with and without a departed target', () => {
+    const member = createMember('h1', null);
+    const observations = {
+      crashes: [{ target: 'i-1|1000', fingerprints: ['f', 'g'] }],
+      cleared: [{ fingerprint: 'h', deathIds: ['i-2|2000'] }],
+    };
+    [
+      observations,
+      { ...observations, departedTarget: 'i-0|1' },
+      { departedTarget: 'i-0|1' },
+    ].forEach((info) => {
+      const members = [{ ...member, info: { ...member.info, ...info } }];
+      const decoded = codec.decodeGossip(codec.encodeGossip({ ...message, members }));
+      assert.deepEqual(
+        JSON.parse(JSON.stringify(decoded.members)),
+        JSON.parse(JSON.stringify(members)),
+      );
+    });
+  });
+
   it('takes less than half of the bytes of MessagePack with field names', () => {
     assert.ok(codec.encodeGossip(message).length < msgpack.encode(message).length / 2);
   });
--- a/packages/proxy/test/withdrawn-target.test.ts
+++ b/packages/proxy/test/withdrawn-target.test.ts
@@ -29,6 +29,7 @@
       const egress = targetEgress.createEgress(ctx, {
         onConnectionFailure: () => undefined,
         isQuarantined: () => false,
+        onCompleted: () => undefined,
       });
       const target: targetEgress.AnnouncedTarget = {
         service: 'catalogue',
