Bodies: the rest of a refused upload is read, so that the next call on its connection is served

Cause: a streamed body has two readers after an early response. The server discards the rest, but the pipe to the target paused the body again when the request to the target closed. The rest was never read, so Node.js did not receive the next call on the connection. The proxy that had sent it got no acknowledgement within 550 ms and took the host for unreachable (attempt-unacknowledged, connectMs=1, bodySent=false), and after 2 s the time-out of the discard closed the connection with whatever call was on it by then. After a broken attempt or an early final response the rest was not read at all, neither from peers nor, for streamed responses, from callers.

Change: a pipe that stops leaves the body flowing if another reader has taken it over, and both servers read the rest of a body once its response has been sent, within the limits of drainBody.

--- a/packages/proxy/src/mesh/block-pipe.ts
+++ b/packages/proxy/src/mesh/block-pipe.ts
@@ -5,7 +5,10 @@
 export interface BlockPipe {
   /** Writes what has been read; to be called before the destination is ended. */
   flush(): void;
-  /** Stops reading, as does the close of the destination. */
+  /**
+   * Stops reading, as does the close of the destination. The source is paused unless another reader has
+   * taken the rest of the body over, such as one that discards it.
+   */
   stop(): void;
 }
 
@@ -60,7 +63,9 @@
     stopLimit();
     source.off('data', collect);
     destination.off('drain', updateFlow);
-    source.pause();
+    // The pipe may have paused what the other reader still expects.
+    if (source.listenerCount('data') > 0) source.resume();
+    else source.pause();
   };
   destination.once('close', stop);
   updateFlow();
--- a/packages/proxy/src/mesh/body-reader.ts
+++ b/packages/proxy/src/mesh/body-reader.ts
@@ -1,4 +1,5 @@
 /** Reads request bodies into memory, within a limit for the whole process. */
+import type * as http from 'node:http';
 import type * as stream from 'node:stream';
 import * as runtime from '@figshed/runtime';
 import * as chunkRate from './chunk-rate.js';
@@ -54,6 +55,20 @@
   source.resume();
 }
 
+/**
+ * Reads the rest of a body once its response has been sent, if the response came first: Node.js does so
+ * only for a body of which nothing has been read, and calls behind an unread rest are never received.
+ *
+ * @example
+ * drainAfterResponse(request, response);
+ */
+export function drainAfterResponse(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): void {
+  response.once('finish', () => drainBody(request));
+}
+
 /**
  * Reads a request body into one buffer.
  *
--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -2,7 +2,7 @@
 import type * as net from 'node:net';
 import type * as mesh from '@figshed/core/mesh';
 import * as upstreamResponse from './upstream-response.js';
-import type * as bodyReader from './body-reader.js';
+import * as bodyReader from './body-reader.js';
 import type * as calls from './call.js';
 import * as callerConnections from './caller-connections.js';
 import type * as callRunner from './call-runner.js';
@@ -144,6 +144,7 @@
     const { socket } = request;
     request.on('error', () => undefined);
     response.on('error', () => undefined);
+    bodyReader.drainAfterResponse(request, response);
     let handleDisconnect = (): void => undefined;
     if (!connections.tryAddCall(response, () => handleDisconnect())) {
       // The connection closes after an earlier response; the caller can repeat this call on another.
--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -173,8 +173,6 @@
         constants.HTTP.unavailable,
         meshHeaders.formatRefusal(reason, retryAfterMs),
       );
-      // Reads a late body to its end, so that closing the connection does not reset the response.
-      bodyReader.drainBody(request);
     },
     onBroken(cause) {
       sendEmptyResponse(response, constants.HTTP.badGateway, meshHeaders.formatBrokenCause(cause));
@@ -206,6 +204,7 @@
     response.once('close', () => {
       openAttempts -= 1;
     });
+    bodyReader.drainAfterResponse(request, response);
     const now = clock.monotonic();
     const readWholeBody = (): Promise<Buffer> =>
       bodyReader.readBody(request, byteBudget, metadata.bodyBytes);
--- a/packages/proxy/src/mesh/request-body.ts
+++ b/packages/proxy/src/mesh/request-body.ts
@@ -134,8 +134,8 @@
   };
   const stop = (): void => {
     clearTimeout(stallTimer);
-    pipe.stop();
     source.off('data', countBytes);
+    pipe.stop();
     source.off('end', handleSourceEnd);
     source.off('close', handleSourceClose);
   };
