Attempts: an acknowledgement that arrived during a stall of the process counts

Callers saw 503 for a call whose host had acknowledged it, when the calling process had been stalled.

Cause: Node.js runs due timers before it polls sockets. After a stall longer than the acknowledgement time-out (550 ms), the timer of an attempt fired first and took the host for unreachable, which also opened its circuit breaker, although the acknowledgement was in the socket.

Change: the time-out waits until the sockets have been polled once more before it counts.

--- a/packages/proxy/src/mesh/peer-client.ts
+++ b/packages/proxy/src/mesh/peer-client.ts
@@ -2,6 +2,7 @@
 import type * as core from '@figshed/core';
 import * as mesh from '@figshed/core/mesh';
 import * as upstreamResponse from './upstream-response.js';
+import * as eventLoop from '../event-loop.js';
 import * as configurationFetcher from './configuration-fetcher.js';
 import * as constants from './constants.js';
 import type * as context from './context.js';
@@ -119,7 +120,11 @@
 
     const acknowledgementTimeout = getAcknowledgementTimeout(endpoint);
     const timeoutMs = constants.CONNECT_TIMEOUT_MS + acknowledgementTimeout.getTimeoutMs();
-    const acknowledgementTimer = setTimeout(() => {
+    let isAcknowledged = false;
+    const handleLateAcknowledgement = async (): Promise<void> => {
+      // After a stall of this process, the acknowledgement may have arrived but not been read.
+      await eventLoop.waitForSocketPoll();
+      if (isAcknowledged || hasEnded) return;
       log.info('attempt-unacknowledged', {
         call: attempt.callId,
         host: endpoint.address,
@@ -131,8 +136,10 @@
       acknowledgementTimeout.recordTimeout();
       if (isConnected && isBodySent) handler.onUnacknowledged();
       else fail('not-acknowledged');
+    };
+    const acknowledgementTimer = setTimeout(() => {
+      handleLateAcknowledgement().catch((error: Error) => fail(error.message));
     }, timeoutMs);
-    let isAcknowledged = false;
     const recordAcknowledgement = (): void => {
       clearTimeout(acknowledgementTimer);
       if (!isAcknowledged) acknowledgementTimeout.addSample(clock.monotonic() - now);
