Mesh: a second signal waits for the stop under way

What callers saw: with a second SIGTERM within the grace period, all connections of the host were reset at once. Calls under way got no response, orders among them whose target then worked on for nobody.

Cause: `stop` returned at once when a stop was under way, and the command ends the process as soon as the promise of `stop` is fulfilled: "a stop has begun" was taken for "it has ended". The command of the product's own call path ignores further signals; the mesh's command lacked that. `stop` now returns the promise of the one stop, so that each caller of it waits for the end.

--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -22,7 +22,10 @@
 /** A mesh process: all its tasks, started and stopped in order. */
 export interface MeshProcess {
   start(): Promise<void>;
-  /** Stops within `graceMs`; running calls may finish before connections are closed. */
+  /**
+   * Stops within `graceMs`; running calls may finish before connections are closed. A further call
+   * waits for the same stop.
+   */
   stop(): Promise<void>;
 }
 
@@ -52,6 +55,7 @@
   const byteBudget = bodyReader.createByteBudget(constants.MAX_BUFFERED_BYTES);
   let routes: mesh.RouteTable | undefined;
   let isStopping = false;
+  let stopped: Promise<void> | undefined;
   let isRefusingPeers = false;
   let hasAnnouncedReady = false;
 
@@ -183,6 +187,48 @@
     }
   };
 
+  const stopTasks = async (): Promise<void> => {
+    isStopping = true;
+    const stoppedAt = clock.monotonic();
+    const deadlineAt = stoppedAt + settings.graceMs - EXIT_MARGIN_MS;
+    log.info('stopping', {
+      openCalls: callers.countOpenCalls(),
+      attempts: target.countOpenAttempts(),
+    });
+    callers.drain(deadlineAt);
+    members.setInfo({ ready: false });
+    adapter.hostRegistry
+      .deregister()
+      .catch((error: Error) => log.warn('withdraw-failed', { message: error.message }));
+    await timers.setTimeout(Math.min(SERVE_AFTER_STOP_MS, settings.graceMs / 2));
+    // Calls that arrived while the process was busy are still accepted on connections about to close.
+    await eventLoop.waitForSocketPoll();
+    isRefusingPeers = true;
+    callers.close();
+    await waitUntil(isDrained, deadlineAt);
+    runner.expireOpenCalls();
+    await waitUntil(isIdle, deadlineAt + LAST_RESPONSES_MS);
+    members.leave();
+    configuration.stop();
+    log.info('stopped', {
+      tookMs: Math.round(clock.monotonic() - stoppedAt),
+      openCalls: callers.countOpenCalls(),
+      attempts: target.countOpenAttempts() + peerAttempts.countOpenAttempts(),
+    });
+    callers.destroy();
+    localServers.forEach((server) => server.stop());
+    peerAttempts.destroy();
+    peers.close();
+    target.stop();
+    members.stop();
+    stallMonitor.stop();
+    loadMonitor.stop();
+    metrics.stop();
+    // The responses that were cut are logged when their connections have closed.
+    await eventLoop.waitForSocketPoll();
+    log.flush();
+  };
+
   return {
     async start() {
       log.info('start', { service: settings.service, dataCentre: settings.dataCentre });
@@ -197,47 +243,9 @@
       stallMonitor.start();
       loadMonitor.start();
     },
-    async stop() {
-      if (isStopping) return;
-      isStopping = true;
-      const stoppedAt = clock.monotonic();
-      const deadlineAt = stoppedAt + settings.graceMs - EXIT_MARGIN_MS;
-      log.info('stopping', {
-        openCalls: callers.countOpenCalls(),
-        attempts: target.countOpenAttempts(),
-      });
-      callers.drain(deadlineAt);
-      members.setInfo({ ready: false });
-      adapter.hostRegistry
-        .deregister()
-        .catch((error: Error) => log.warn('withdraw-failed', { message: error.message }));
-      await timers.setTimeout(Math.min(SERVE_AFTER_STOP_MS, settings.graceMs / 2));
-      // Calls that arrived while the process was busy are still accepted on connections about to close.
-      await eventLoop.waitForSocketPoll();
-      isRefusingPeers = true;
-      callers.close();
-      await waitUntil(isDrained, deadlineAt);
-      runner.expireOpenCalls();
-      await waitUntil(isIdle, deadlineAt + LAST_RESPONSES_MS);
-      members.leave();
-      configuration.stop();
-      log.info('stopped', {
-        tookMs: Math.round(clock.monotonic() - stoppedAt),
-        openCalls: callers.countOpenCalls(),
-        attempts: target.countOpenAttempts() + peerAttempts.countOpenAttempts(),
-      });
-      callers.destroy();
-      localServers.forEach((server) => server.stop());
-      peerAttempts.destroy();
-      peers.close();
-      target.stop();
-      members.stop();
-      stallMonitor.stop();
-      loadMonitor.stop();
-      metrics.stop();
-      // The responses that were cut are logged when their connections have closed.
-      await eventLoop.waitForSocketPoll();
-      log.flush();
+    stop() {
+      stopped ??= stopTasks();
+      return stopped;
     },
   };
 }
