Mesh: checks of lost attempts stand apart from the local target

A truncated response now counts as a lost attempt as well, since a target can crash after it has sent the head. The caller's attempt ends once even if the check itself fails. crashing-requests and departed-targets pass.

--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -3,10 +3,10 @@
 import * as mesh from '@figshed/core/mesh';
 import * as upstreamResponse from './upstream-response.js';
 import * as constants from './constants.js';
-import * as crashDetectors from './crash-detector.js';
 import type * as context from './context.js';
 import * as keepAliveAgent from './keep-alive-agent.js';
 import * as localTargetGate from './local-target-gate.js';
+import * as lostAttemptsModule from './lost-attempts.js';
 import * as meshHeaders from './mesh-headers.js';
 import * as requestBodies from './request-body.js';
 import type * as requestQuarantine from './request-quarantine.js';
@@ -168,34 +168,7 @@
     else release();
   };
 
-  const crashes = crashDetectors.createCrashDetector({
-    ctx,
-    endpoint,
-    onCrash(target, fingerprints) {
-      log.warn('target-crashed', { target: target.id, attempts: fingerprints.length });
-      metrics.count('target_crashes_total');
-      gate.markDown(target, 'crashed');
-      quarantine.recordOwnCrash(mesh.formatIncarnation(target), fingerprints);
-    },
-  });
-
-  /**
-   * Finds out whether an attempt lost its connection since the target has crashed. A target that has
-   * said that it leaves ends as planned.
-   */
-  const findCrashedTarget = async ({
-    sent,
-    attempt,
-    body,
-  }: LocalAttempt): Promise<string | undefined> => {
-    if (!sent || body === undefined) return undefined;
-    const incarnation = mesh.formatIncarnation(sent.target);
-    if (incarnation === gate.getDeparted()) return undefined;
-    const hasCrashed = await crashes.recordLoss(sent.target, () =>
-      quarantine.computeFingerprint({ ...attempt, body }),
-    );
-    return hasCrashed ? incarnation : undefined;
-  };
+  const lostAttempts = lostAttemptsModule.createLostAttempts({ ctx, endpoint, gate, quarantine });
 
   const failAttempt = (key: string, cause: string, isConnectionLost = false): void => {
     const entry = openAttempts.get(key);
@@ -212,10 +185,7 @@
       });
       entry.handler.onBroken(cause, crashedTarget);
     };
-    if (isConnectionLost)
-      findCrashedTarget(entry)
-        .then(reportBroken)
-        .catch((error: Error) => log.error('crash-check-failed', { message: error.message }));
+    if (isConnectionLost) lostAttempts.checkTarget(entry, reportBroken);
     else reportBroken();
     releaseAbandonedSlot(key, entry, 'failed');
   };
@@ -278,6 +248,7 @@
       if (!openAttempts.delete(key)) return;
       if (isComplete() && entry.body !== undefined)
         quarantine.recordCompletion({ ...entry.attempt, body: entry.body });
+      else if (!entry.isCancelled) lostAttempts.checkTarget(entry, () => undefined);
       const tookMs = clock.monotonic() - sentAt;
       slotUsage.record(entry.attempt.route, classifyOutcome(entry, status, isComplete()), tookMs);
       updateFailureShare(!isComplete() || status >= constants.HTTP.firstServerError);
@@ -357,7 +328,7 @@
         failAttempt(key, error.message, lostConnectionCodes.has(error.code));
         return;
       }
-      if (error.code === 'ECONNREFUSED') crashes.recordRefusedConnection(target);
+      if (error.code === 'ECONNREFUSED') lostAttempts.recordRefusedConnection(target);
       gate.markDown(target, error.message);
       refuseStarted(key, 'target-down');
     });
