--- a/packages/core/src/health/quarantine.ts
+++ b/packages/core/src/health/quarantine.ts
@@ -13,9 +13,9 @@
   ttlMs: number;
   /** Number of fingerprints kept; the least recently reported ones are removed first. */
   maxFingerprints: number;
-  /** Time from the last crash until a quarantined request may be tried once more. */
+  /** Time from the last crash or trial until a quarantined request may be tried once more. */
   firstTrialMs: number;
-  /** Factor by which that time grows with each trial. */
+  /** Factor by which that time grows with each crash after those that started the quarantine. */
   trialBackOffFactor: number;
 }
 
@@ -52,12 +52,14 @@
   isQuarantined(fingerprint: string, now: number): boolean;
   /** Whether at least one crash is counted, so that such requests can be run one at a time. */
   isSuspect(fingerprint: string, now: number): boolean;
-  /** Whether a crash may count for any request; false means that none has to be identified. */
+  /** Whether any request may be suspect; false means that no completed one has to be identified. */
   hasSuspects(): boolean;
+  /** Whether any request may be quarantined; false means that none has to be identified. */
+  hasQuarantined(): boolean;
   /** Returns when a quarantined request may be tried again; infinite if it is not quarantined. */
   getNextTrialAt(fingerprint: string, now: number): number;
   /** Records that a quarantined request is being tried, which delays the next trial. */
-  recordTrial(fingerprint: string): void;
+  recordTrial(fingerprint: string, now: number): void;
   /** Lists the fingerprints with at least one counted crash; `deaths` is the number of crashes. */
   list(now: number): { fingerprint: string; deaths: number; quarantined: boolean }[];
 }
@@ -71,8 +73,9 @@
 }
 
 interface Entry {
+  /** By the identifier of the crash; expired ones stay, so that a late report does not renew them. */
   crashes: Map<string, Crash>;
-  trials: number;
+  triedAt: number;
 }
 
 /**
@@ -83,8 +86,8 @@
  */
 export function createQuarantine(options: QuarantineOptions): Quarantine {
   const entries = new Map<string, Entry>();
-  /** Fingerprints with a crash that has not been cleared, expired ones included. */
-  const suspects = new Set<string>();
+  /** Fingerprints by their number of crashes that count, some of which may have expired since. */
+  const countsByFingerprint = new Map<string, number>();
 
   const listCounted = (fingerprint: string, now: number): [string, Crash][] =>
     [...(entries.get(fingerprint)?.crashes ?? [])].filter(
@@ -97,54 +100,56 @@
   const isQuarantined = (fingerprint: string, now: number): boolean =>
     countCrashes(fingerprint, now) >= options.crashesToQuarantine;
 
-  const deleteEntry = (fingerprint: string): void => {
-    entries.delete(fingerprint);
-    suspects.delete(fingerprint);
+  const updateCount = (fingerprint: string, now: number): void => {
+    const count = countCrashes(fingerprint, now);
+    if (count > 0) countsByFingerprint.set(fingerprint, count);
+    else countsByFingerprint.delete(fingerprint);
   };
 
-  const deleteExpired = (now: number): void =>
-    entries.forEach(({ crashes }, fingerprint) => {
-      if ([...crashes.values()].every(({ at }) => now - at >= options.ttlMs))
-        deleteEntry(fingerprint);
-    });
+  const updateCounts = (now: number): void =>
+    [...countsByFingerprint.keys()].forEach((fingerprint) => updateCount(fingerprint, now));
 
   /** Returns the entry as the most recently reported one; the oldest is removed beyond the limit. */
   const renewEntry = (fingerprint: string): Entry => {
-    const entry = entries.get(fingerprint) ?? { crashes: new Map<string, Crash>(), trials: 0 };
+    const entry = entries.get(fingerprint) ?? {
+      crashes: new Map<string, Crash>(),
+      triedAt: Number.NEGATIVE_INFINITY,
+    };
     entries.delete(fingerprint);
     entries.set(fingerprint, entry);
-    if (entries.size > options.maxFingerprints) deleteEntry(entries.keys().next().value as string);
+    if (entries.size > options.maxFingerprints) {
+      const oldest = entries.keys().next().value as string;
+      entries.delete(oldest);
+      countsByFingerprint.delete(oldest);
+    }
     return entry;
   };
 
-  const setCrash = (fingerprint: string, deathId: string, crash: Crash): void => {
+  const setCrash = (fingerprint: string, deathId: string, crash: Crash, now: number): void => {
     const { crashes } = renewEntry(fingerprint);
     crashes.set(deathId, crash);
     if (crashes.size > MAX_CRASHES_PER_FINGERPRINT)
       crashes.delete(crashes.keys().next().value as string);
-    if ([...crashes.values()].some(({ isCleared }) => !isCleared)) suspects.add(fingerprint);
-    else suspects.delete(fingerprint);
+    updateCount(fingerprint, now);
   };
 
-  const recordCrash = ({ fingerprint, deathId, at }: TargetCrash): boolean => {
+  const recordCrash = ({ fingerprint, deathId, at }: TargetCrash, now: number): boolean => {
     if (entries.get(fingerprint)?.crashes.has(deathId)) return false;
-    setCrash(fingerprint, deathId, { at, isCleared: false });
+    setCrash(fingerprint, deathId, { at, isCleared: false }, now);
     return true;
   };
 
   const clearCrashes = ({ fingerprint, deathIds }: ClearedCrashes, now: number): void => {
     deathIds.forEach((deathId) => {
       const at = entries.get(fingerprint)?.crashes.get(deathId)?.at ?? now;
-      setCrash(fingerprint, deathId, { at, isCleared: true });
+      setCrash(fingerprint, deathId, { at, isCleared: true }, now);
     });
-    const entry = entries.get(fingerprint);
-    if (entry) entry.trials = 0;
   };
 
   return {
     recordCrashes(reported, now) {
-      deleteExpired(now);
-      return reported.filter((crash) => now - crash.at < options.ttlMs && recordCrash(crash));
+      updateCounts(now);
+      return reported.filter((crash) => now - crash.at < options.ttlMs && recordCrash(crash, now));
     },
     recordCompletion(fingerprint, now) {
       const deathIds = listCounted(fingerprint, now).map(([deathId]) => deathId);
@@ -156,16 +161,21 @@
     recordCleared: (cleared, now) => cleared.forEach((item) => clearCrashes(item, now)),
     isQuarantined,
     isSuspect: (fingerprint, now) => countCrashes(fingerprint, now) > 0,
-    hasSuspects: () => suspects.size > 0,
+    hasSuspects: () => countsByFingerprint.size > 0,
+    hasQuarantined: () =>
+      [...countsByFingerprint.values()].some((count) => count >= options.crashesToQuarantine),
     getNextTrialAt(fingerprint, now) {
       const entry = entries.get(fingerprint);
       if (!entry || !isQuarantined(fingerprint, now)) return Number.POSITIVE_INFINITY;
-      const lastCrashAt = Math.max(...listCounted(fingerprint, now).map(([, { at }]) => at));
-      return lastCrashAt + options.firstTrialMs * options.trialBackOffFactor ** entry.trials;
+      const counted = listCounted(fingerprint, now).map(([, { at }]) => at);
+      // All processes know of the crash of a trial, whichever of them has tried.
+      const failedTrials = counted.length - options.crashesToQuarantine;
+      const delayMs = options.firstTrialMs * options.trialBackOffFactor ** failedTrials;
+      return Math.max(entry.triedAt, ...counted) + delayMs;
     },
-    recordTrial(fingerprint) {
+    recordTrial(fingerprint, now) {
       const entry = entries.get(fingerprint);
-      if (entry) entry.trials += 1;
+      if (entry) entry.triedAt = now;
     },
     list: (now) =>
       [...entries.keys()]
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -47,6 +47,9 @@
   random: clock.Random;
 }
 
+/** How often each member returns the crashes of a member's former record; all of them do. */
+const MAX_CRASH_RETURNS = 4;
+
 interface Probe {
   subject: string;
   sequence: number;
@@ -65,6 +68,15 @@
   return departedTarget !== undefined || (crashes !== undefined && crashes.length > 0);
 }
 
+/** Returns whether a process that has restarted has got back what its former record tells. */
+function hasRecalled(info: types.MemberInfo, former: types.MemberInfo): boolean {
+  const targets = new Set(info.crashes?.map(({ target }) => target));
+  return (
+    (former.departedTarget === undefined || info.departedTarget !== undefined) &&
+    (former.crashes ?? []).every(({ target }) => targets.has(target))
+  );
+}
+
 /**
  * Creates the membership protocol instance of one process.
  *
@@ -79,7 +91,9 @@
   const updateQueue = updates.createUpdateQueue();
   const relays = new Map<number, PingRelay>();
   /** Records of members before their restart, until they know again what these tell. */
-  const previousRecords = new Map<string, types.Member>();
+  const previousRecords = new Map<string, { record: types.Member; returns: number }>();
+  /** Records of this process from before its restart whose facts it has got back. */
+  const recalledRecords = new Set<string>();
   let self: types.Member = {
     id: input.id,
     incarnation: input.incarnation,
@@ -105,8 +119,11 @@
   };
 
   const updatePreviousRecord = (previous: types.Member, member: types.Member): void => {
-    if (hasRecallable(member.info)) previousRecords.delete(member.id);
-    else if (hasRecallable(previous.info)) previousRecords.set(member.id, previous);
+    const isRestart = previous.info.instance !== member.info.instance;
+    if (isRestart && hasRecallable(previous.info))
+      previousRecords.set(member.id, { record: previous, returns: 0 });
+    const former = previousRecords.get(member.id)?.record;
+    if (former && hasRecalled(member.info, former.info)) previousRecords.delete(member.id);
   };
 
   const storeMember = (member: types.Member, now: number): types.MembershipEffect[] => {
@@ -128,15 +145,27 @@
     return storeMember(self, now);
   };
 
-  const refuteRecord = (record: types.Member, now: number): types.MembershipEffect[] => {
-    const { info } = record;
-    if (info.instance !== self.info.instance && hasRecallable(info))
-      return [{ type: 'self-recalled', info }];
+  /** Overrides a record of this process that is not older than its own. */
+  const overrideRecord = (record: types.Member, now: number): types.MembershipEffect[] => {
     if (record.incarnation < self.incarnation || self.status === 'left') return [];
     if (record.incarnation === self.incarnation && record.status === 'alive') return [];
     return replaceSelf({ incarnation: record.incarnation + 1 }, now);
   };
 
+  /** Returns the facts of a record from before the restart of this process, once for each record. */
+  const recallRecord = ({ info, incarnation }: types.Member): types.MembershipEffect[] => {
+    const key = `${info.instance} ${incarnation}`;
+    if (info.instance === self.info.instance || !hasRecallable(info)) return [];
+    if (recalledRecords.has(key)) return [];
+    recalledRecords.add(key);
+    return [{ type: 'self-recalled', info }];
+  };
+
+  const refuteRecord = (record: types.Member, now: number): types.MembershipEffect[] => [
+    ...recallRecord(record),
+    ...overrideRecord(record, now),
+  ];
+
   const mergeRecord = (member: types.Member, now: number): types.MembershipEffect[] => {
     if (member.id === self.id) return refuteRecord(member, now);
     return precedence.isNewerRecord(member, members.get(member.id)) ? storeMember(member, now) : [];
@@ -272,6 +301,20 @@
       return [{ type: 'send', to: getEndpoint(member), message: { type: 'mark', ...message } }];
     });
 
+  /**
+   * Returns the record of a member from before its restart. The member does not announce again the
+   * crashes that have been cleared since, so these are returned a few times only.
+   */
+  const takePreviousRecord = (id: string): types.Member | undefined => {
+    const entry = previousRecords.get(id);
+    if (!entry) return undefined;
+    entry.returns += 1;
+    const { departedTarget } = entry.record.info;
+    if (departedTarget === undefined && entry.returns >= MAX_CRASH_RETURNS)
+      previousRecords.delete(id);
+    return entry.record;
+  };
+
   const selectAckMembers = (ping: {
     from: string;
     isContact: boolean;
@@ -287,7 +330,7 @@
       storedRecord &&
       (storedRecord.status !== 'alive' ||
         (sentRecord && sentRecord.incarnation < storedRecord.incarnation));
-    const previousRecord = previousRecords.get(receiver);
+    const previousRecord = takePreviousRecord(receiver);
     const leadingRecords = [
       ...(previousRecord ? [previousRecord] : []),
       ...(isContact || options.shouldIncludeSelf ? [self] : []),
--- a/packages/core/test/routing.test.ts
+++ b/packages/core/test/routing.test.ts
@@ -222,8 +222,10 @@
     assert.equal(quarantine.getNextTrialAt('f', 1), Number.POSITIVE_INFINITY);
     quarantine.recordCrashes([{ fingerprint: 'f', deathId: 'd2', at: 5 }], 5);
     assert.equal(quarantine.getNextTrialAt('f', 5), firstTrialMs + 5);
-    quarantine.recordTrial('f');
-    assert.equal(quarantine.getNextTrialAt('f', 5), firstTrialMs * trialBackOffFactor + 5);
+    quarantine.recordTrial('f', 6);
+    assert.equal(quarantine.getNextTrialAt('f', 6), firstTrialMs + 6);
+    quarantine.recordCrashes([{ fingerprint: 'f', deathId: 'd3', at: 7 }], 7);
+    assert.equal(quarantine.getNextTrialAt('f', 7), firstTrialMs * trialBackOffFactor + 7);
   });
 
   it('needs no requests identified once all crashes are cleared or expired', () => {
--- a/packages/proxy/src/egress/egress.ts
+++ b/packages/proxy/src/egress/egress.ts
@@ -10,6 +10,7 @@
 
 /** Longest response body of an order that is recorded for repeated requests, in bytes. */
 const MAX_RECORDED_BODY_BYTES = 2_048;
+const HTTP_FIRST_SERVER_ERROR = 500;
 
 /** A target with the values of its announcement. */
 export interface AnnouncedTarget {
@@ -192,7 +193,8 @@
         handler.onData(chunk);
       },
       onEnd() {
-        dependencies.onCompleted(request.fingerprint);
+        if (attempt.head && attempt.head.status < HTTP_FIRST_SERVER_ERROR)
+          dependencies.onCompleted(request.fingerprint);
         recordDone(attempt);
         handler.onEnd();
         finish(attempt);
--- a/packages/proxy/src/gossip-schemas.ts
+++ b/packages/proxy/src/gossip-schemas.ts
@@ -10,10 +10,14 @@
   isCold: z.boolean().optional(),
 });
 
-/** Longest lists of crashes in a record, and of the requests or targets of each. */
-export const MAX_CRASH_RECORDS = 4;
-export const MAX_FINGERPRINTS_PER_CRASH = 32;
-export const MAX_CLEARED_REQUESTS = 16;
+/**
+ * Longest lists of crashes in a record, and of the requests or targets of each. Together they keep a
+ * datagram of nine such records below 10 KB.
+ */
+export const MAX_CRASH_RECORDS = 2;
+export const MAX_FINGERPRINTS_PER_CRASH = 20;
+export const MAX_CLEARED_REQUESTS = 4;
+export const MAX_DEATHS_PER_CLEARED_REQUEST = 3;
 
 const crashSchema = z.object({
   target: z.string(),
@@ -22,7 +26,7 @@
 
 const clearedSchema = z.object({
   fingerprint: z.string(),
-  deathIds: z.array(z.string()).max(MAX_FINGERPRINTS_PER_CRASH),
+  deathIds: z.array(z.string()).max(MAX_DEATHS_PER_CLEARED_REQUEST),
 });
 
 /** Schema of a member record received from another process. */
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -209,7 +209,8 @@
         handleEvent({ type: 'refused', reason, retryAfterMs });
       },
       onBroken(cause, crashedTarget) {
-        if (crashedTarget !== undefined) quarantine.recordCrash(crashedTarget, call);
+        if (crashedTarget !== undefined)
+          quarantine.recordCrash(crashedTarget, { ...call, service });
         if (!attempts.settle(attemptNumber)) return;
         logger.logAttempt(call, {
           hostId,
@@ -247,7 +248,7 @@
         handleEvent({ type: 'no-target' });
         return;
       }
-      const verdict = quarantine.check(call);
+      const verdict = quarantine.check({ ...call, service });
       if (verdict.type === 'quarantined') {
         handleEvent(verdict);
         return;
@@ -263,6 +264,7 @@
         handleEvent({ type: 'no-target' });
         return;
       }
+      if (verdict.isTrial) quarantine.recordTrial({ ...call, service });
       const targetHostId = placement.hostId;
       lastHostId = targetHostId;
       triedHosts.add(targetHostId);
--- a/packages/proxy/src/mesh/crash-detector.ts
+++ b/packages/proxy/src/mesh/crash-detector.ts
@@ -10,6 +10,8 @@
    * has ended. `computeFingerprint` is called if it has.
    */
   recordLoss(target: mesh.OpenTarget, computeFingerprint: () => string): Promise<boolean>;
+  /** Records that an attempt was cancelled, which counts as lost if the target ends soon. */
+  recordCancelled(target: mesh.OpenTarget, computeFingerprint: () => string): void;
   /** Records that the target has refused a connection: those lost just before ended with it. */
   recordRefusedConnection(target: mesh.OpenTarget): void;
 }
@@ -64,9 +66,17 @@
     incarnation = next;
     hasCrashed = false;
     losses = [];
+    probe = undefined;
     listeningAt = Number.NEGATIVE_INFINITY;
   };
 
+  const addLoss = (target: mesh.OpenTarget, computeFingerprint: () => string): void => {
+    setIncarnation(target);
+    const now = clock.monotonic();
+    losses = losses.filter(({ at }) => now - at < LOSS_RETENTION_MS);
+    losses.push({ at: now, computeFingerprint });
+  };
+
   const reportCrash = (target: mesh.OpenTarget): void => {
     hasCrashed = true;
     const recentLosses = losses.filter(({ at }) => clock.monotonic() - at < LOSS_RETENTION_MS);
@@ -79,8 +89,8 @@
 
   const probeTarget = async (target: mesh.OpenTarget): Promise<boolean> => {
     const isRefused = await isConnectionRefused(endpoint);
-    probe = undefined;
     if (mesh.formatIncarnation(target) !== incarnation) return isRefused;
+    probe = undefined;
     if (isRefused) reportCrash(target);
     else listeningAt = clock.monotonic();
     return isRefused;
@@ -88,10 +98,8 @@
 
   return {
     async recordLoss(target, computeFingerprint) {
-      setIncarnation(target);
+      addLoss(target, computeFingerprint);
       const now = clock.monotonic();
-      losses = losses.filter(({ at }) => now - at < LOSS_RETENTION_MS);
-      losses.push({ at: now, computeFingerprint });
       if (hasCrashed) {
         reportCrash(target);
         return true;
@@ -100,6 +108,7 @@
       probe ??= probeTarget(target);
       return probe;
     },
+    recordCancelled: addLoss,
     recordRefusedConnection(target) {
       setIncarnation(target);
       if (losses.length > 0) reportCrash(target);
--- a/packages/proxy/src/mesh/local-target-gate.ts
+++ b/packages/proxy/src/mesh/local-target-gate.ts
@@ -99,7 +99,9 @@
     },
     getDeparted: () => gate.getDeparted(),
     markDown(target, cause) {
-      if (!gate.markDown(target.id)) return;
+      const current = gate.getOpenTarget();
+      if (!current || mesh.formatIncarnation(current) !== mesh.formatIncarnation(target)) return;
+      gate.markDown(target.id);
       log.warn('target-down', { target: target.id, cause });
       onClosed('target-down');
       onChange();
--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -246,9 +246,11 @@
     const status = message.statusCode ?? 0;
     const settleAttempt = (): void => {
       if (!openAttempts.delete(key)) return;
-      if (isComplete() && entry.body !== undefined)
+      const isFailure = status >= constants.HTTP.firstServerError;
+      if (isComplete() && !isFailure && entry.body !== undefined)
         quarantine.recordCompletion({ ...entry.attempt, body: entry.body });
-      else if (!entry.isCancelled) lostAttempts.checkTarget(entry, () => undefined);
+      else if (!isComplete() && !entry.isCancelled)
+        lostAttempts.checkTarget(entry, () => undefined);
       const tookMs = clock.monotonic() - sentAt;
       slotUsage.record(entry.attempt.route, classifyOutcome(entry, status, isComplete()), tookMs);
       updateFailureShare(!isComplete() || status >= constants.HTTP.firstServerError);
@@ -377,6 +379,7 @@
     // disconnected.
     if (!entry.attempt.isRepeatable) return false;
     openAttempts.delete(key);
+    lostAttempts.recordCancelled(entry);
     entry.request.destroy();
     releaseAbandonedSlot(key, entry, 'abandoned');
     return false;
--- a/packages/proxy/src/mesh/lost-attempts.ts
+++ b/packages/proxy/src/mesh/lost-attempts.ts
@@ -15,6 +15,8 @@
    * once, with the incarnation of the target if it has.
    */
   checkTarget(lost: LostAttempt, onChecked: (crashedTarget?: string) => void): void;
+  /** Records a cancelled attempt, which may have begun to end the target. */
+  recordCancelled(lost: LostAttempt): void;
   /** Records that the target has refused the connection of a later attempt. */
   recordRefusedConnection(target: mesh.OpenTarget): void;
 }
@@ -42,10 +44,15 @@
 export function createLostAttempts(input: LostAttemptsInput): LostAttempts {
   const { ctx, endpoint, gate, quarantine } = input;
   const { log, metrics } = ctx;
+  /** A target that has said that it leaves ends as planned. */
+  const hasDeparted = (target: mesh.OpenTarget): boolean =>
+    mesh.formatIncarnation(target) === gate.getDeparted();
+
   const detector = crashDetectors.createCrashDetector({
     ctx,
     endpoint,
     onCrash(target, fingerprints) {
+      if (hasDeparted(target)) return;
       log.warn('target-crashed', { target: target.id, attempts: fingerprints.length });
       metrics.count('target_crashes_total');
       gate.markDown(target, 'crashed');
@@ -59,13 +66,13 @@
     body,
   }: LostAttempt): Promise<string | undefined> => {
     if (!sent || body === undefined) return undefined;
-    const incarnation = mesh.formatIncarnation(sent.target);
-    // A target that has said that it leaves ends as planned.
-    if (incarnation === gate.getDeparted()) return undefined;
+    if (hasDeparted(sent.target)) return undefined;
     const hasCrashed = await detector.recordLoss(sent.target, () =>
       quarantine.computeFingerprint({ ...attempt, body }),
     );
-    return hasCrashed ? incarnation : undefined;
+    return hasCrashed && !hasDeparted(sent.target)
+      ? mesh.formatIncarnation(sent.target)
+      : undefined;
   };
 
   return {
@@ -78,6 +85,12 @@
         .then(onChecked)
         .catch((error: Error) => log.error('attempt-end-failed', { message: error.message }));
     },
+    recordCancelled({ sent, attempt, body }) {
+      if (!sent || body === undefined) return;
+      detector.recordCancelled(sent.target, () =>
+        quarantine.computeFingerprint({ ...attempt, body }),
+      );
+    },
     recordRefusedConnection: detector.recordRefusedConnection,
   };
 }
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -140,7 +140,10 @@
     listHostIds: () =>
       members
         .list()
-        .filter(({ status }) => status === 'alive')
+        .filter(
+          ({ id, status, info }) =>
+            id === settings.id || (status === 'alive' && info.target?.service === settings.service),
+        )
         .map(({ id }) => id),
     onChange: () => members.setInfo(quarantine.getRecords()),
   });
--- a/packages/proxy/src/mesh/request-fingerprint.ts
+++ b/packages/proxy/src/mesh/request-fingerprint.ts
@@ -3,6 +3,8 @@
 
 /** What identifies a request that comes again under another call ID. */
 export interface RequestIdentity {
+  /** Service of the target. */
+  service: string;
   method: string;
   path: string;
   /** Alternating names and values. */
@@ -22,17 +24,18 @@
 }
 
 /**
- * Computes the fingerprint of a request, from its method, host, path, body and the service of its
- * caller. A streamed body, which is never held whole, is represented by its length.
+ * Computes the fingerprint of a request, from its method, host, path, body and the services of its
+ * target and its caller. A streamed body, which is never held whole, is represented by its length.
  *
  * @example
  * computeFingerprint(call, protocol.callerServiceHeader); // 'nDGtYsUx0cA'
  */
 export function computeFingerprint(request: RequestIdentity, callerServiceHeader: string): string {
-  const { method, path, headers, body } = request;
+  const { service, method, path, headers, body } = request;
   const callerService = getHeader(headers, callerServiceHeader);
   const hash = crypto.createHash('sha1');
-  hash.update([method, getHeader(headers, 'host'), path, callerService, ''].join(SEPARATOR));
+  const host = getHeader(headers, 'host').toLowerCase();
+  hash.update([service, method, host, path, callerService, ''].join(SEPARATOR));
   hash.update(
     Buffer.isBuffer(body) ? body : `streamed ${requestBodies.measureBody(body) ?? 'in chunks'}`,
   );
--- a/packages/proxy/src/mesh/request-quarantine.ts
+++ b/packages/proxy/src/mesh/request-quarantine.ts
@@ -7,6 +7,8 @@
 export interface RequestQuarantine {
   /** Checks a call at the host of its caller, before an attempt is sent. */
   check(request: requestFingerprint.RequestIdentity): QuarantineVerdict;
+  /** Records that a call that `check` allowed as a trial is sent. */
+  recordTrial(request: requestFingerprint.RequestIdentity): void;
   /** Returns the time until a quarantined request may be tried again; undefined for all others. */
   getRetryAfterMs(request: requestFingerprint.RequestIdentity): number | undefined;
   /** Records a crash of the target beside this process. */
@@ -30,7 +32,7 @@
 
 export interface RequestQuarantineInput {
   ctx: Pick<context.MeshContext, 'settings' | 'clock' | 'log' | 'metrics' | 'protocol'>;
-  /** Lists the hosts of which one may try a quarantined request again. */
+  /** Lists the hosts that receive the same calls, of which one may try a quarantined request again. */
   listHostIds: () => string[];
   /** Called when the records for other hosts have changed. */
   onChange: () => void;
@@ -67,14 +69,21 @@
   let ownCrashes: OwnCrash[] = [];
   let cleared: core.ClearedCrashes[] = [];
   let changeTimer: NodeJS.Timeout | undefined;
+  let changeDueAt = Number.POSITIVE_INFINITY;
 
   const computeFingerprint = (request: requestFingerprint.RequestIdentity): string =>
     requestFingerprint.computeFingerprint(request, protocol.callerServiceHeader);
 
   /** A crash ends several attempts, and its requests are completed one by one. */
   const scheduleChange = (delayMs: number): void => {
+    const dueAt = clock.monotonic() + delayMs;
+    if (changeDueAt <= dueAt) return;
+    changeDueAt = dueAt;
     clearTimeout(changeTimer);
-    changeTimer = setTimeout(onChange, delayMs);
+    changeTimer = setTimeout(() => {
+      changeDueAt = Number.POSITIVE_INFINITY;
+      onChange();
+    }, delayMs);
     changeTimer.unref();
   };
 
@@ -112,14 +121,15 @@
     const all = [...new Set([...(known?.fingerprints ?? []), ...fingerprints])];
     const crash = {
       target,
-      // The requests that started last are the more likely cause.
       fingerprints: all.slice(-gossipSchemas.MAX_FINGERPRINTS_PER_CRASH),
       at: known?.at ?? clock.monotonic(),
     };
     ownCrashes = [...ownCrashes.filter((other) => other !== known), crash];
     addCrashes(target, fingerprints);
     scheduleChange(0);
-    setTimeout(scheduleChange, SUSPECT_RECORD_MS, 0).unref();
+    [SUSPECT_RECORD_MS, core.quarantineDefaults.ttlMs].forEach((delayMs) =>
+      setTimeout(scheduleChange, delayMs, 0).unref(),
+    );
   };
 
   const isTrialHost = (fingerprint: string): boolean =>
@@ -133,20 +143,21 @@
 
   return {
     check(request) {
-      if (!quarantine.hasSuspects()) return allowed;
+      if (!quarantine.hasQuarantined()) return allowed;
       const fingerprint = computeFingerprint(request);
       const retryAfterMs = computeRetryAfterMs(fingerprint);
       if (retryAfterMs === undefined) return allowed;
-      if (retryAfterMs === 0 && isTrialHost(fingerprint)) {
-        quarantine.recordTrial(fingerprint);
-        log.info('request-tried-again', { fingerprint });
-        return { type: 'allowed', isTrial: true };
-      }
+      if (retryAfterMs === 0 && isTrialHost(fingerprint)) return { type: 'allowed', isTrial: true };
       metrics.count('calls_quarantined_total');
       return { type: 'quarantined', retryAfterMs };
     },
+    recordTrial(request) {
+      const fingerprint = computeFingerprint(request);
+      quarantine.recordTrial(fingerprint, clock.now());
+      log.info('request-tried-again', { fingerprint });
+    },
     getRetryAfterMs: (request) =>
-      quarantine.hasSuspects() ? computeRetryAfterMs(computeFingerprint(request)) : undefined,
+      quarantine.hasQuarantined() ? computeRetryAfterMs(computeFingerprint(request)) : undefined,
     recordOwnCrash: addOwnCrash,
     recordCrash: (target, request) => addCrashes(target, [computeFingerprint(request)]),
     recordCompletion(request) {
@@ -154,12 +165,16 @@
       const completed = quarantine.recordCompletion(computeFingerprint(request), clock.now());
       if (!completed) return;
       log.info('request-cleared', { fingerprint: completed.fingerprint });
+      const sent = {
+        ...completed,
+        deathIds: completed.deathIds.slice(-gossipSchemas.MAX_DEATHS_PER_CLEARED_REQUEST),
+      };
       cleared = [
-        ...cleared.filter(({ fingerprint }) => fingerprint !== completed.fingerprint),
-        completed,
+        ...cleared.filter(({ fingerprint }) => fingerprint !== sent.fingerprint),
+        sent,
       ].slice(-gossipSchemas.MAX_CLEARED_REQUESTS);
       setTimeout(() => {
-        cleared = cleared.filter((other) => other !== completed);
+        cleared = cleared.filter((other) => other !== sent);
         scheduleChange(COMPLETION_DELAY_MS);
       }, SUSPECT_RECORD_MS).unref();
       scheduleChange(COMPLETION_DELAY_MS);
--- a/packages/proxy/test/mesh-gossip-size.test.ts
+++ b/packages/proxy/test/mesh-gossip-size.test.ts
@@ -6,7 +6,7 @@
 
 const { describe, it } = test;
 
-const MAX_DATAGRAM_BYTES = 65_507;
+const MAX_DATAGRAM_BYTES = 10_000;
 /** The sender's record and those that it passes on. */
 const RECORDS_PER_DATAGRAM = 9;
 
@@ -45,7 +45,7 @@
 
 describe('a datagram of records with the longest lists', () => {
   it('can be sent', (context) => {
-    const sizes = [1, 4, gossipSchemas.MAX_FINGERPRINTS_PER_CRASH].map(
+    const sizes = [1, gossipSchemas.MAX_DEATHS_PER_CLEARED_REQUEST].map(
       (deaths) =>
         codec.encodeGossip({
           type: 'ping',
@@ -56,7 +56,7 @@
           members: repeat(RECORDS_PER_DATAGRAM, (index) => createMember(index, deaths)),
         }).byteLength,
     );
-    context.diagnostic(`bytes with 1, 4 and the most deaths per request: ${sizes.join(', ')}`);
+    context.diagnostic(`bytes with 1 and the most deaths per request: ${sizes.join(', ')}`);
     assert.ok(Math.max(...sizes) <= MAX_DATAGRAM_BYTES, `${Math.max(...sizes)} bytes`);
   });
 });
--- a/packages/proxy/test/mesh-request-quarantine.test.ts
+++ b/packages/proxy/test/mesh-request-quarantine.test.ts
@@ -8,6 +8,7 @@
 
 const TTL_MS = 600_000;
 const REQUEST = {
+  service: 's',
   method: 'GET',
   path: '/a',
   headers: ['host', 'a.example', 'caller', 's'],
