--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -10,6 +10,7 @@
 import type * as context from './context.js';
 import * as eventLoop from '../event-loop.js';
 import * as gossipMembers from './gossip-members.js';
+import * as linkUsages from './link-usage.js';
 import * as loadMonitors from './load-monitor.js';
 import * as peerClient from './peer-client.js';
 import * as peerServer from './peer-server.js';
@@ -64,7 +65,8 @@
   const loadMonitor = loadMonitors.createLoadMonitor(ctx);
   // eslint-disable-next-line @typescript-eslint/no-use-before-define -- tasks depend on one another
   const targets = targetTable.createTargetTable(ctx, () => target);
-  const peers = peerClient.createPeerClient(ctx);
+  const linkUsage = linkUsages.createLinkUsage(clock);
+  const peers = peerClient.createPeerClient(ctx, linkUsage);
 
   const history = mesh.createConfigHistory(mesh.configHistoryDefaults);
 
@@ -171,6 +173,7 @@
   });
   const callers = callerServer.createCallerServer({
     ctx,
+    linkUsage,
     getRoutes: () => routes,
     runner,
     isNested: (callId) => target.isRunningParentOf(callId),
@@ -189,6 +192,7 @@
   ];
   const peerAttempts = peerServer.createPeerServer({
     ctx,
+    linkUsage,
     target,
     configurationSender: configurationSender.createConfigurationSender(ctx, history),
     isStopping: () => isRefusingPeers,
@@ -264,10 +268,53 @@
       configuration.start();
       stallMonitor.start();
       loadMonitor.start();
+      linkUsage.start();
     },
     stop() {
       stopped ??= stopTasks();
       return stopped;
+    async stop() {
+      if (isStopping) return;
+      isStopping = true;
+      const stoppedAt = clock.monotonic();
+      const deadlineAt = stoppedAt + settings.graceMs - EXIT_MARGIN_MS;
+      log.info('stopping', {
+        openCalls: callers.countOpenCalls(),
+        attempts: target.countOpenAttempts(),
+      });
+      callers.drain(deadlineAt);
+      members.setInfo({ ready: false });
+      adapter.hostRegistry
+        .deregister()
+        .catch((error: Error) => log.warn('withdraw-failed', { message: error.message }));
+      await timers.setTimeout(Math.min(SERVE_AFTER_STOP_MS, settings.graceMs / 2));
+      // Calls that arrived while the process was busy are still accepted on connections about to close.
+      await eventLoop.waitForSocketPoll();
+      isRefusingPeers = true;
+      callers.close();
+      await waitUntil(isDrained, deadlineAt);
+      runner.expireOpenCalls();
+      await waitUntil(isIdle, deadlineAt + LAST_RESPONSES_MS);
+      members.leave();
+      configuration.stop();
+      log.info('stopped', {
+        tookMs: Math.round(clock.monotonic() - stoppedAt),
+        openCalls: callers.countOpenCalls(),
+        attempts: target.countOpenAttempts() + peerAttempts.countOpenAttempts(),
+      });
+      callers.destroy();
+      localServers.forEach((server) => server.stop());
+      peerAttempts.destroy();
+      peers.close();
+      target.stop();
+      members.stop();
+      stallMonitor.stop();
+      loadMonitor.stop();
+      linkUsage.stop();
+      metrics.stop();
+      // The responses that were cut are logged when their connections have closed.
+      await eventLoop.waitForSocketPoll();
+      log.flush();
     },
   };
 }
