--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -249,6 +249,7 @@
     members.stop();
     stallMonitor.stop();
     loadMonitor.stop();
+    linkUsage.stop();
     metrics.stop();
     // The responses that were cut are logged when their connections have closed.
     await eventLoop.waitForSocketPoll();
@@ -273,48 +274,6 @@
     stop() {
       stopped ??= stopTasks();
       return stopped;
-    async stop() {
-      if (isStopping) return;
-      isStopping = true;
-      const stoppedAt = clock.monotonic();
-      const deadlineAt = stoppedAt + settings.graceMs - EXIT_MARGIN_MS;
-      log.info('stopping', {
-        openCalls: callers.countOpenCalls(),
-        attempts: target.countOpenAttempts(),
-      });
-      callers.drain(deadlineAt);
-      members.setInfo({ ready: false });
-      adapter.hostRegistry
-        .deregister()
-        .catch((error: Error) => log.warn('withdraw-failed', { message: error.message }));
-      await timers.setTimeout(Math.min(SERVE_AFTER_STOP_MS, settings.graceMs / 2));
-      // Calls that arrived while the process was busy are still accepted on connections about to close.
-      await eventLoop.waitForSocketPoll();
-      isRefusingPeers = true;
-      callers.close();
-      await waitUntil(isDrained, deadlineAt);
-      runner.expireOpenCalls();
-      await waitUntil(isIdle, deadlineAt + LAST_RESPONSES_MS);
-      members.leave();
-      configuration.stop();
-      log.info('stopped', {
-        tookMs: Math.round(clock.monotonic() - stoppedAt),
-        openCalls: callers.countOpenCalls(),
-        attempts: target.countOpenAttempts() + peerAttempts.countOpenAttempts(),
-      });
-      callers.destroy();
-      localServers.forEach((server) => server.stop());
-      peerAttempts.destroy();
-      peers.close();
-      target.stop();
-      members.stop();
-      stallMonitor.stop();
-      loadMonitor.stop();
-      linkUsage.stop();
-      metrics.stop();
-      // The responses that were cut are logged when their connections have closed.
-      await eventLoop.waitForSocketPoll();
-      log.flush();
     },
   };
 }
--- a/packages/proxy/test/mesh-early-responses.test.ts
+++ b/packages/proxy/test/mesh-early-responses.test.ts
@@ -9,6 +9,7 @@
 import type * as call from '../src/mesh/call.js';
 import * as callerServer from '../src/mesh/caller-server.js';
 import type * as context from '../src/mesh/context.js';
+import * as linkUsages from '../src/mesh/link-usage.js';
 import type * as localTarget from '../src/mesh/local-target.js';
 import * as meshMetrics from '../src/mesh/metrics.js';
 import * as meshSettings from '../src/mesh/settings.js';
@@ -165,6 +166,7 @@
     },
   };
   return peerServer.createPeerServer({
+    linkUsage: linkUsages.createLinkUsage(runtime.systemClock),
     ctx: createContext(),
     target: target as localTarget.LocalTarget,
     configurationSender: { send: () => undefined },
@@ -175,6 +177,7 @@
 
 function createCallers(targetPort: number, endAttempt: EndAttempt): TestServer {
   return callerServer.createCallerServer({
+    linkUsage: linkUsages.createLinkUsage(runtime.systemClock),
     ctx: createContext(),
     getRoutes: () => routes,
     runner: {
--- a/packages/proxy/test/mesh-late-acknowledgement.test.ts
+++ b/packages/proxy/test/mesh-late-acknowledgement.test.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net';
 import * as test from 'node:test';
 import * as runtime from '@figshed/runtime';
+import * as linkUsages from '../src/mesh/link-usage.js';
 import * as meshMetrics from '../src/mesh/metrics.js';
 import * as peerClient from '../src/mesh/peer-client.js';
 
@@ -34,7 +35,7 @@
       server.listen(0, ADDRESS, resolve);
     });
     const { port } = server.address() as net.AddressInfo;
-    const peers = peerClient.createPeerClient({
+    const ctx = {
       clock: runtime.systemClock,
       log: runtime.createLogger({
         level: 'error',
@@ -44,7 +45,9 @@
       }),
       metrics: meshMetrics.createMeshMetrics(),
       protocol: { callIdHeader: 'call-id' },
-    } as never);
+    };
+    const linkUsage = linkUsages.createLinkUsage(runtime.systemClock);
+    const peers = peerClient.createPeerClient(ctx as never, linkUsage);
     const now = runtime.systemClock.monotonic();
     const outcome = await new Promise<string>((resolve) => {
       peers.run(
