Logs: a call without a route tells how old its version is

A 404 said only the version. Whether the process had been told of a newer one, had not been confirmed for seconds, or took a late confirmation as fresh could not be told apart.

The call-refused line now has the time since the version was confirmed as the newest, by whom, a newer version known elsewhere, the duration of the read of the source that is under way, and whether the last read succeeded.

--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -7,6 +7,7 @@
 import * as callerConnections from './caller-connections.js';
 import type * as callRunner from './call-runner.js';
 import * as constants from './constants.js';
+import type * as configurationTask from './configuration-task.js';
 import type * as context from './context.js';
 import * as errors from './errors.js';
 import * as meshHeaders from './mesh-headers.js';
@@ -34,6 +35,7 @@
 export interface CallerServerInput {
   ctx: context.MeshContext;
   getRoutes: () => mesh.RouteTable | undefined;
+  getConfirmation: () => configurationTask.Confirmation;
   runner: callRunner.CallRunner;
   /** Returns whether the target on this host made the call as part of another one it is running. */
   isNested: (callId: string) => boolean;
@@ -53,7 +55,7 @@
  * const callers = createCallerServer({ ctx, getRoutes, runner, isNested, byteBudget });
  */
 export function createCallerServer(input: CallerServerInput): CallerServer {
-  const { ctx, getRoutes, runner, isNested, byteBudget } = input;
+  const { ctx, getRoutes, getConfirmation, runner, isNested, byteBudget } = input;
   const { settings, clock, log, metrics, protocol } = ctx;
   const server = http.createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
@@ -161,6 +163,7 @@
         requestHost: request.headers.host,
         path: request.url,
         version: getRoutes()?.config.version,
+        ...getConfirmation(),
       });
       sendEmptyResponse(response, status);
       return;
--- a/packages/proxy/src/mesh/configuration-task.ts
+++ b/packages/proxy/src/mesh/configuration-task.ts
@@ -6,6 +6,20 @@
 import type * as gossipMembers from './gossip-members.js';
 import type * as types from './types.js';
 
+/** What a process knows of the age of its version. */
+export interface Confirmation {
+  /** Time since the version was confirmed to be the newest, in milliseconds; undefined if never. */
+  ageMs: number | undefined;
+  /** `source`, or the member that sent the confirmation. */
+  confirmedBy: string | undefined;
+  /** Newer version that a member is known to hold. */
+  newerVersion: number | undefined;
+  /** Duration of the read of the source that is under way, in milliseconds. */
+  readMs: number | undefined;
+  /** Whether the last finished read succeeded. */
+  isSourceReachable: boolean;
+}
+
 /** Keeps the configuration of one process up to date, from the source or from peers. */
 export interface ConfigurationTask {
   /**
@@ -13,6 +27,8 @@
    * is the time since that version was confirmed to be the newest.
    */
   recordVersion(member: core.Member, version: number, ageMs: number | undefined): void;
+  /** Returns what is known of the age of the version in force, for logs. */
+  getConfirmation(): Confirmation;
   start(): void;
   stop(): void;
 }
@@ -78,6 +94,8 @@
   let isSourceReachable = true;
   let isFetching = false;
   let isReadDue = false;
+  let readStartedAt: number | undefined;
+  let confirmedBy: string | undefined;
   /**
    * Peer from which a newer version is fetched; a peer in this data centre replaces any other,
    * even one with a newer version.
@@ -105,6 +123,12 @@
   const computeRank = (ids: readonly string[]): number =>
     Math.max(0, core.chooseByRendezvousHash(READER_HASH_KEY, ids, ids.length).indexOf(settings.id));
 
+  const recordConfirmation = (at: number, from: string): void => {
+    const now = clock.monotonic();
+    if (now - at < pollSchedule.getConfirmationAgeMs(now)) confirmedBy = from;
+    pollSchedule.recordConfirmation(at);
+  };
+
   const sendVersion = (ids: readonly string[]): void => {
     const ageMs = pollSchedule.getConfirmationAgeMs(clock.monotonic());
     if (getVersion() !== undefined && Number.isFinite(ageMs)) getMembers().sendVersion(ids, ageMs);
@@ -123,7 +147,8 @@
       const { config, ...transfer } = await fetchFromPeer(holder.member);
       applyConfig(config, holder.member.id, transfer);
       if (config.version < holder.version) throw new errors.OlderVersionError(config.version);
-      if (config.version === holder.version) pollSchedule.recordConfirmation(holder.confirmedAt);
+      if (config.version === holder.version)
+        recordConfirmation(holder.confirmedAt, holder.member.id);
       const nearbyIds = listDataCentreIds();
       if (computeRank(nearbyIds) === 0) sendVersion(nearbyIds);
     } catch (error) {
@@ -151,7 +176,7 @@
   const recordVersion = (member: core.Member, version: number, ageMs: number | undefined): void => {
     const ownVersion = getVersion();
     const confirmedAt = ageMs === undefined ? Number.NEGATIVE_INFINITY : clock.monotonic() - ageMs;
-    if (version === ownVersion) pollSchedule.recordConfirmation(confirmedAt);
+    if (version === ownVersion) recordConfirmation(confirmedAt, member.id);
     if (version <= (ownVersion ?? NO_VERSION)) return;
     const isNearby = member.info.dataCentre === settings.dataCentre;
     if (!preferredHolder || version > preferredHolder.version || isNearby)
@@ -181,6 +206,7 @@
   const readSource = async (waitMs: number): Promise<void> => {
     readController = new AbortController();
     const readAt = clock.monotonic();
+    readStartedAt = readAt;
     isReadDue = false;
     try {
       metrics.count('source_questions_total');
@@ -189,11 +215,14 @@
       markSourceReachable();
       // An empty result came at the end of the wait, or earlier when the source has no configuration.
       const respondedAt = Math.min(readAt + waitMs, clock.monotonic());
-      pollSchedule.recordConfirmation(configs.length === 0 ? respondedAt : readAt);
+      recordConfirmation(configs.length === 0 ? respondedAt : readAt, 'source');
+      readStartedAt = undefined;
       sendVersion(listReaderGroup());
       if (configs.length > 0) await timers.setTimeout(BATCH_DELAY_SHARE * applyWithinMs);
     } catch (error) {
       if (!isStopped) markSourceUnreachable(error as Error);
+    } finally {
+      readStartedAt = undefined;
     }
   };
 
@@ -215,6 +244,17 @@
 
   return {
     recordVersion,
+    getConfirmation() {
+      const now = clock.monotonic();
+      const ageMs = pollSchedule.getConfirmationAgeMs(now);
+      return {
+        ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+        confirmedBy,
+        newerVersion: isBehind() ? preferredHolder?.version : undefined,
+        readMs: readStartedAt === undefined ? undefined : Math.round(now - readStartedAt),
+        isSourceReachable,
+      };
+    },
     start() {
       followSource().catch((error: Error) =>
         log.error('follow-failed', { message: error.message }),
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -146,6 +146,7 @@
   const callers = callerServer.createCallerServer({
     ctx,
     getRoutes: () => routes,
+    getConfirmation: configuration.getConfirmation,
     runner,
     isNested: (callId) => target.isRunningParentOf(callId),
     byteBudget,
--- a/packages/proxy/test/mesh-caller-stop.test.ts
+++ b/packages/proxy/test/mesh-caller-stop.test.ts
@@ -128,6 +128,13 @@
       protocol: { callIdHeader: 'call-id' } as never,
     },
     getRoutes: () => routes,
+    getConfirmation: () => ({
+      ageMs: 0,
+      confirmedBy: 'source',
+      newerVersion: undefined,
+      readMs: undefined,
+      isSourceReachable: true,
+    }),
     runner: {
       run({ path }: call.Call, responder) {
         const body = Buffer.alloc(Number(path.slice(1)), 'x');
