Sketch: a host answers 503 instead of 404 while its version is unconfirmed

A call without a route gets 404 only if no newer version is known and the version at hand was confirmed within the bound, else 503 with Retry-After, and the next read starts at once. The age that a datagram states is raised by the time since the socket was last drained.

--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -35,7 +35,7 @@
 export interface CallerServerInput {
   ctx: context.MeshContext;
   getRoutes: () => mesh.RouteTable | undefined;
-  getConfirmation: () => configurationTask.Confirmation;
+  configuration: Pick<configurationTask.ConfigurationTask, 'checkConfirmed' | 'getConfirmation'>;
   runner: callRunner.CallRunner;
   /** Returns whether the target on this host made the call as part of another one it is running. */
   isNested: (callId: string) => boolean;
@@ -47,6 +47,8 @@
 /** Added to the idle time-out, so that a request in transit does not reach a closed connection. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 const MS_PER_SECOND = 1_000;
+/** When a call without a known route may be repeated, as a share of `applyWithinMs`. */
+const RETRY_AFTER_SHARE = 0.1;
 
 /**
  * Creates the server; it listens after `start`.
@@ -55,7 +57,7 @@
  * const callers = createCallerServer({ ctx, getRoutes, runner, isNested, byteBudget });
  */
 export function createCallerServer(input: CallerServerInput): CallerServer {
-  const { ctx, getRoutes, getConfirmation, runner, isNested, byteBudget } = input;
+  const { ctx, getRoutes, configuration, runner, isNested, byteBudget } = input;
   const { settings, clock, log, metrics, protocol } = ctx;
   const server = http.createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
@@ -138,7 +140,9 @@
     const routes = getRoutes();
     if (!routes) return constants.HTTP.unavailable;
     const path = (request.url ?? '/').split('?')[0] ?? '/';
-    return routes.findRoute(request.headers.host ?? '', path) ?? constants.HTTP.notFound;
+    const route = routes.findRoute(request.headers.host ?? '', path);
+    if (route) return route;
+    return configuration.checkConfirmed() ? constants.HTTP.notFound : constants.HTTP.unavailable;
   };
 
   const handleRequest = (request: http.IncomingMessage, response: http.ServerResponse): void => {
@@ -163,9 +167,13 @@
         requestHost: request.headers.host,
         path: request.url,
         version: getRoutes()?.config.version,
-        ...getConfirmation(),
+        ...configuration.getConfirmation(),
       });
-      sendEmptyResponse(response, status);
+      sendEmptyResponse(
+        response,
+        status,
+        status === constants.HTTP.unavailable ? RETRY_AFTER_SHARE * settings.applyWithinMs : 0,
+      );
       return;
     }
     const rejectAfterClose = (): void => {
--- a/packages/proxy/src/mesh/configuration-task.ts
+++ b/packages/proxy/src/mesh/configuration-task.ts
@@ -27,6 +27,11 @@
    * is the time since that version was confirmed to be the newest.
    */
   recordVersion(member: core.Member, version: number, ageMs: number | undefined): void;
+  /**
+   * Returns whether no newer version is known and none can have been due to be in force; if not,
+   * the next read starts at once.
+   */
+  checkConfirmed(): boolean;
   /** Returns what is known of the age of the version in force, for logs. */
   getConfirmation(): Confirmation;
   start(): void;
@@ -244,6 +249,15 @@
 
   return {
     recordVersion,
+    checkConfirmed() {
+      const isConfirmed =
+        pollSchedule.getConfirmationAgeMs(clock.monotonic()) < applyWithinMs && !isBehind();
+      if (!isConfirmed && isSourceReachable && readStartedAt === undefined) {
+        isReadDue = true;
+        interruptPause();
+      }
+      return isConfirmed;
+    },
     getConfirmation() {
       const now = clock.monotonic();
       const ageMs = pollSchedule.getConfirmationAgeMs(now);
--- a/packages/proxy/src/mesh/gossip-members.ts
+++ b/packages/proxy/src/mesh/gossip-members.ts
@@ -38,6 +38,8 @@
 }
 
 const TICK_INTERVAL_MS = 100;
+/** Datagrams that Node.js reads at most from a socket in one turn of the event loop. */
+const MAX_DATAGRAMS_PER_TURN = 32;
 /** Members that an update is sent to directly; gossip disseminates it to the others. */
 const MAX_DIRECT_UPDATES = 32;
 /** Registered hosts contacted at once; enough to reach a live one after the loss of many hosts. */
@@ -99,6 +101,9 @@
     random,
   });
   let tickTimer: NodeJS.Timeout | undefined;
+  let receivedInTurn = 0;
+  /** Monotonic time before which no datagram that is still unread can have arrived. */
+  let drainedAt = clock.monotonic();
   let contactTimer: NodeJS.Timeout | undefined;
   let version = NO_VERSION;
   /** Highest epoch of the source that a member has sent and this process had not received yet. */
@@ -141,12 +146,16 @@
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- renewal lists, which sends
         recordEpoch(effect.mark.epoch);
         const member = membership.getMember(effect.id);
-        if (member) onVersion(member, effect.mark.version, effect.ageMs);
+        // A datagram may have waited in the socket since it was last drained.
+        const waitedMs = clock.monotonic() - drainedAt;
+        const ageMs = effect.ageMs === undefined ? undefined : effect.ageMs + waitedMs;
+        if (member) onVersion(member, effect.mark.version, ageMs);
       }
     });
   };
 
   const receive = (bytes: Buffer, from: core.Endpoint): void => {
+    receivedInTurn += 1;
     let message;
     try {
       message = gossipCodec.decodeGossip(bytes);
@@ -231,6 +240,18 @@
     if (epoch !== announcedEpoch) registration.renew();
   });
 
+  /** Runs after the sockets have been read in the turn of the event loop that is under way. */
+  const recordDrain = (turnAt: number): void => {
+    if (receivedInTurn < MAX_DATAGRAMS_PER_TURN) drainedAt = turnAt;
+  };
+
+  const tick = (): void => {
+    const now = clock.monotonic();
+    receivedInTurn = 0;
+    setImmediate(recordDrain, now);
+    applyEffects(membership.tick(now));
+  };
+
   const sendOwnRecord = (): void => {
     const aliveMembers = membership
       .listMembers()
@@ -256,10 +277,8 @@
       await new Promise<void>((resolve) => {
         socket.bind(ownEndpoint.port, ownEndpoint.address, resolve);
       });
-      tickTimer = setInterval(
-        () => applyEffects(membership.tick(clock.monotonic())),
-        TICK_INTERVAL_MS,
-      );
+      drainedAt = clock.monotonic();
+      tickTimer = setInterval(tick, TICK_INTERVAL_MS);
       contactTimer = setInterval(recontact, RECONTACT_INTERVAL_MS);
       registration.start();
     },
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -146,7 +146,7 @@
   const callers = callerServer.createCallerServer({
     ctx,
     getRoutes: () => routes,
-    getConfirmation: configuration.getConfirmation,
+    configuration,
     runner,
     isNested: (callId) => target.isRunningParentOf(callId),
     byteBudget,
--- a/packages/proxy/test/mesh-caller-stop.test.ts
+++ b/packages/proxy/test/mesh-caller-stop.test.ts
@@ -128,13 +128,16 @@
       protocol: { callIdHeader: 'call-id' } as never,
     },
     getRoutes: () => routes,
-    getConfirmation: () => ({
-      ageMs: 0,
-      confirmedBy: 'source',
-      newerVersion: undefined,
-      readMs: undefined,
-      isSourceReachable: true,
-    }),
+    configuration: {
+      checkConfirmed: () => true,
+      getConfirmation: () => ({
+        ageMs: 0,
+        confirmedBy: 'source',
+        newerVersion: undefined,
+        readMs: undefined,
+        isSourceReachable: true,
+      }),
+    },
     runner: {
       run({ path }: call.Call, responder) {
         const body = Buffer.alloc(Number(path.slice(1)), 'x');
