--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -173,11 +173,10 @@
         constants.HTTP.unavailable,
         meshHeaders.formatRefusal(reason, retryAfterMs),
       );
-      // Reads a late body to its end, so that closing the connection does not reset the response.
-      bodyReader.drainBody(request);
     },
-    onBroken(cause) {
-      sendEmptyResponse(response, constants.HTTP.badGateway, meshHeaders.formatBrokenCause(cause));
+    onBroken(cause, crashedTarget) {
+      const headers = meshHeaders.formatBrokenCause(cause, crashedTarget);
+      sendEmptyResponse(response, constants.HTTP.badGateway, headers);
     },
   });
 
@@ -206,6 +205,7 @@
     response.once('close', () => {
       openAttempts -= 1;
     });
+    bodyReader.drainAfterResponse(request, response);
     const now = clock.monotonic();
     const readWholeBody = (): Promise<Buffer> =>
       bodyReader.readBody(request, byteBudget, metadata.bodyBytes);
@@ -261,6 +261,7 @@
           bodyBytes: metadata.bodyBytes,
           isStreamed,
           mayBeLate: metadata.mayBeLate,
+          isTrial: metadata.isTrial ?? false,
           rank: metadata.rank,
           objectiveAt: now + metadata.objectiveMs,
           deadlineAt: now + metadata.deadlineMs,
