Tests: the attempt of a late acknowledgement has the field isTrial

The type check of packages/proxy/test failed since attempts have that field; the test itself, run without type check, passed. `npx tsc -p packages/proxy/test` names no error now.

--- a/packages/proxy/test/mesh-late-acknowledgement.test.ts
+++ b/packages/proxy/test/mesh-late-acknowledgement.test.ts
@@ -60,6 +60,7 @@
           bodyBytes: 1,
           isStreamed: false,
           mayBeLate: false,
+          isTrial: false,
           rank: 0,
           objectiveAt: now + DEADLINE_MS,
           deadlineAt: now + DEADLINE_MS,
