Mesh: 404 only from a version that is confirmed, else 503 as not run

Callers got 404 on routes that had been in force for longer than a change may take. A host concluded from the version at hand that a route does not exist, although it knew that nobody had confirmed this version for longer than the bound, or that a member held a newer one. After a stall it also took confirmations that had waited in its socket as confirmations of now.

Whether a route that the version lacks is absent is now decided in core (`version-freshness.ts`): only if the version was confirmed less than `applyWithinMs` ago and no newer one is known. Otherwise the call is rejected as not run, with Retry-After, and if the confirmation is too old the source is read at once unless it is known to be lost. The age of a confirmation includes the time for which its datagram may have waited: since the last turn of the event loop that emptied the socket (`datagram-wait.ts`).

--- a/packages/core/src/mesh/index.ts
+++ b/packages/core/src/mesh/index.ts
@@ -98,6 +98,13 @@
   type TargetAnnouncement,
   type TargetGate,
 } from './target-gate.js';
+export {
+  decideUnknownRoute,
+  unknownRouteDefaults,
+  type UnknownRouteOptions,
+  type UnknownRouteVerdict,
+  type VersionKnowledge,
+} from './version-freshness.js';
 export type {
   CallerLimits,
   MeshConfig,
--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -35,7 +35,7 @@
 export interface CallerServerInput {
   ctx: context.MeshContext;
   getRoutes: () => mesh.RouteTable | undefined;
-  configuration: Pick<configurationTask.ConfigurationTask, 'checkConfirmed' | 'getConfirmation'>;
+  configuration: Pick<configurationTask.ConfigurationTask, 'checkUnknownRoute' | 'getConfirmation'>;
   runner: callRunner.CallRunner;
   /** Returns whether the target on this host made the call as part of another one it is running. */
   isNested: (callId: string) => boolean;
@@ -47,8 +47,11 @@
 /** Added to the idle time-out, so that a request in transit does not reach a closed connection. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 const MS_PER_SECOND = 1_000;
-/** When a call without a known route may be repeated, as a share of `applyWithinMs`. */
-const RETRY_AFTER_SHARE = 0.1;
+/** A call on a route that may exist is rejected as not run. */
+const statusByVerdict: Record<mesh.UnknownRouteVerdict['type'], number> = {
+  absent: constants.HTTP.notFound,
+  undecided: constants.HTTP.unavailable,
+};
 
 /**
  * Creates the server; it listens after `start`.
@@ -136,13 +139,32 @@
     return Number.isFinite(value) && value > 0 ? value : constants.DEFAULT_DEADLINE_MS;
   };
 
-  const findRoute = (request: http.IncomingMessage): mesh.RoutePolicy | number => {
-    const routes = getRoutes();
-    if (!routes) return constants.HTTP.unavailable;
+  const findRoute = (request: http.IncomingMessage): mesh.RoutePolicy | undefined => {
     const path = (request.url ?? '/').split('?')[0] ?? '/';
-    const route = routes.findRoute(request.headers.host ?? '', path);
-    if (route) return route;
-    return configuration.checkConfirmed() ? constants.HTTP.notFound : constants.HTTP.unavailable;
+    return getRoutes()?.findRoute(request.headers.host ?? '', path);
+  };
+
+  const rejectUnrouted = (
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    route: mesh.RoutePolicy | undefined,
+  ): void => {
+    const callId = request.headers[protocol.callIdHeader];
+    const verdict = route ? undefined : configuration.checkUnknownRoute();
+    const status = verdict ? statusByVerdict[verdict.type] : constants.HTTP.badRequest;
+    log.info('call-refused', {
+      call: typeof callId === 'string' ? callId : undefined,
+      status,
+      requestHost: request.headers.host,
+      path: request.url,
+      version: getRoutes()?.config.version,
+      ...configuration.getConfirmation(),
+    });
+    sendEmptyResponse(
+      response,
+      status,
+      verdict?.type === 'undecided' ? verdict.retryAfterMs : undefined,
+    );
   };
 
   const handleRequest = (request: http.IncomingMessage, response: http.ServerResponse): void => {
@@ -160,21 +182,8 @@
 
     const callId = request.headers[protocol.callIdHeader];
     const route = findRoute(request);
-    if (typeof callId !== 'string' || typeof route === 'number') {
-      const status = typeof route === 'number' ? route : constants.HTTP.badRequest;
-      log.info('call-refused', {
-        call: typeof callId === 'string' ? callId : undefined,
-        status,
-        requestHost: request.headers.host,
-        path: request.url,
-        version: getRoutes()?.config.version,
-        ...configuration.getConfirmation(),
-      });
-      sendEmptyResponse(
-        response,
-        status,
-        status === constants.HTTP.unavailable ? RETRY_AFTER_SHARE * settings.applyWithinMs : 0,
-      );
+    if (typeof callId !== 'string' || !route) {
+      rejectUnrouted(request, response, route);
       return;
     }
     const rejectAfterClose = (): void => {
--- a/packages/proxy/src/mesh/configuration-task.ts
+++ b/packages/proxy/src/mesh/configuration-task.ts
@@ -28,10 +28,10 @@
    */
   recordVersion(member: core.Member, version: number, ageMs: number | undefined): void;
   /**
-   * Returns whether no newer version is known and none can have been due to be in force; if not,
-   * the next read starts at once.
+   * Returns whether a route that the version in force lacks is absent for certain; if a read of the
+   * source is to tell, it starts at once.
    */
-  checkConfirmed(): boolean;
+  checkUnknownRoute(): mesh.UnknownRouteVerdict;
   /** Returns what is known of the age of the version in force, for logs. */
   getConfirmation(): Confirmation;
   start(): void;
@@ -141,6 +141,12 @@
 
   const interruptPause = (): void => pauseController?.abort();
 
+  /** Reads the source at once, or directly after the read that is under way. */
+  const startRead = (): void => {
+    isReadDue = true;
+    interruptPause();
+  };
+
   const isBehind = (): boolean =>
     preferredHolder !== undefined && preferredHolder.version > (getVersion() ?? NO_VERSION);
 
@@ -163,8 +169,7 @@
         message: (error as Error).message,
       });
       if (preferredHolder === holder) preferredHolder = undefined;
-      isReadDue = true;
-      interruptPause();
+      startRead();
     } finally {
       isFetching = false;
     }
@@ -249,14 +254,15 @@
 
   return {
     recordVersion,
-    checkConfirmed() {
-      const isConfirmed =
-        pollSchedule.getConfirmationAgeMs(clock.monotonic()) < applyWithinMs && !isBehind();
-      if (!isConfirmed && isSourceReachable && readStartedAt === undefined) {
-        isReadDue = true;
-        interruptPause();
-      }
-      return isConfirmed;
+    checkUnknownRoute() {
+      const ageMs = pollSchedule.getConfirmationAgeMs(clock.monotonic());
+      const verdict = mesh.decideUnknownRoute(
+        { hasVersion: getVersion() !== undefined, ageMs, isBehind: isBehind(), isSourceReachable },
+        { ...mesh.unknownRouteDefaults, applyWithinMs },
+      );
+      const shouldRead = verdict.type === 'undecided' && verdict.shouldRead;
+      if (shouldRead && readStartedAt === undefined) startRead();
+      return verdict;
     },
     getConfirmation() {
       const now = clock.monotonic();
--- a/packages/proxy/src/mesh/gossip-members.ts
+++ b/packages/proxy/src/mesh/gossip-members.ts
@@ -1,6 +1,7 @@
 import * as dgram from 'node:dgram';
 import * as core from '@figshed/core';
 import type * as context from './context.js';
+import * as datagramWait from './datagram-wait.js';
 import * as gossipCodec from './gossip-codec.js';
 import * as registrations from './registration.js';
 import type * as types from './types.js';
@@ -38,8 +39,6 @@
 }
 
 const TICK_INTERVAL_MS = 100;
-/** Datagrams that Node.js reads at most from a socket in one turn of the event loop. */
-const MAX_DATAGRAMS_PER_TURN = 32;
 /** Members that an update is sent to directly; gossip disseminates it to the others. */
 const MAX_DIRECT_UPDATES = 32;
 /** Registered hosts contacted at once; enough to reach a live one after the loss of many hosts. */
@@ -82,6 +81,7 @@
   const { ctx, hostRegistry, sourceEpoch, onChange, onRecalled, onVersion } = input;
   const { settings, clock, log, metrics, random } = ctx;
   const socket = dgram.createSocket('udp4');
+  const wait = datagramWait.createDatagramWait(clock);
   const ownEndpoint: core.Endpoint = { address: settings.address, port: settings.peerPort };
   const listedEndpoints = new Map<string, core.Endpoint>();
   const membership = core.createMembership({
@@ -101,9 +101,6 @@
     random,
   });
   let tickTimer: NodeJS.Timeout | undefined;
-  let receivedInTurn = 0;
-  /** Monotonic time before which no datagram that is still unread can have arrived. */
-  let drainedAt = clock.monotonic();
   let contactTimer: NodeJS.Timeout | undefined;
   let version = NO_VERSION;
   /** Highest epoch of the source that a member has sent and this process had not received yet. */
@@ -146,16 +143,15 @@
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- renewal lists, which sends
         recordEpoch(effect.mark.epoch);
         const member = membership.getMember(effect.id);
-        // A datagram may have waited in the socket since it was last drained.
-        const waitedMs = clock.monotonic() - drainedAt;
-        const ageMs = effect.ageMs === undefined ? undefined : effect.ageMs + waitedMs;
+        const ageMs =
+          effect.ageMs === undefined ? undefined : effect.ageMs + wait.computeMaxWaitMs();
         if (member) onVersion(member, effect.mark.version, ageMs);
       }
     });
   };
 
   const receive = (bytes: Buffer, from: core.Endpoint): void => {
-    receivedInTurn += 1;
+    wait.recordDatagram();
     let message;
     try {
       message = gossipCodec.decodeGossip(bytes);
@@ -240,16 +236,9 @@
     if (epoch !== announcedEpoch) registration.renew();
   });
 
-  /** Runs after the sockets have been read in the turn of the event loop that is under way. */
-  const recordDrain = (turnAt: number): void => {
-    if (receivedInTurn < MAX_DATAGRAMS_PER_TURN) drainedAt = turnAt;
-  };
-
   const tick = (): void => {
-    const now = clock.monotonic();
-    receivedInTurn = 0;
-    setImmediate(recordDrain, now);
-    applyEffects(membership.tick(now));
+    wait.startTurn();
+    applyEffects(membership.tick(clock.monotonic()));
   };
 
   const sendOwnRecord = (): void => {
@@ -277,7 +266,6 @@
       await new Promise<void>((resolve) => {
         socket.bind(ownEndpoint.port, ownEndpoint.address, resolve);
       });
-      drainedAt = clock.monotonic();
       tickTimer = setInterval(tick, TICK_INTERVAL_MS);
       contactTimer = setInterval(recontact, RECONTACT_INTERVAL_MS);
       registration.start();
--- a/packages/proxy/test/mesh-caller-stop.test.ts
+++ b/packages/proxy/test/mesh-caller-stop.test.ts
@@ -129,7 +129,7 @@
     },
     getRoutes: () => routes,
     configuration: {
-      checkConfirmed: () => true,
+      checkUnknownRoute: () => ({ type: 'absent' }),
       getConfirmation: () => ({
         ageMs: 0,
         confirmedBy: 'source',
--- a/packages/proxy/test/mesh-early-responses.test.ts
+++ b/packages/proxy/test/mesh-early-responses.test.ts
@@ -177,6 +177,7 @@
   return callerServer.createCallerServer({
     ctx: createContext(),
     getRoutes: () => routes,
+    configuration: {} as never,
     runner: {
       run({ body }: call.Call, responder) {
         streamBody(targetPort, body, endAttempt, {
--- a/packages/proxy/test/mesh-gossip-members.test.ts
+++ b/packages/proxy/test/mesh-gossip-members.test.ts
@@ -16,6 +16,9 @@
 const PORT = 21_204;
 /** Several probe rounds, in which a member that cannot be reached is probed too. */
 const PROBES_MS = 1_500;
+const CONFIRMED_MS = 100;
+/** Beyond the delays of a busy machine. */
+const BLOCK_MS = 800;
 
 const member: core.Member = {
   id: 'h2',
@@ -71,6 +74,7 @@
     members: gossipMembers.Members,
     send: (bytes: Uint8Array) => Promise<void>,
   ) => Promise<void>,
+  onVersion: gossipMembers.MembersInput['onVersion'] = () => undefined,
 ): Promise<void> {
   const socket = dgram.createSocket('udp4');
   const members = gossipMembers.createMembers({
@@ -108,7 +112,7 @@
     sourceEpoch: { get: () => undefined, onChange: () => undefined },
     onChange: () => undefined,
     onRecalled: () => undefined,
-    onVersion: () => undefined,
+    onVersion,
   });
   await members.start();
   try {
@@ -139,4 +143,27 @@
       await timers.setTimeout(PROBES_MS);
       assert.equal(members.list().length, 2);
     }));
+
+  it('adds the time in the socket to the age of a confirmation', async () => {
+    const ages: (number | undefined)[] = [];
+    const sendMarks = async (
+      _: gossipMembers.Members,
+      send: (bytes: Uint8Array) => Promise<void>,
+    ): Promise<void> => {
+      await send(codec.encodeGossip(createMessage([member])));
+      await timers.setTimeout(PROBES_MS);
+      const mark = codec.encodeGossip({ ...createMessage([]), type: 'mark', ageMs: CONFIRMED_MS });
+      ages.length = 0;
+      await send(mark);
+      const blockedUntil = Date.now() + BLOCK_MS;
+      while (Date.now() < blockedUntil);
+      await timers.setTimeout(PROBES_MS);
+      await send(mark);
+      await timers.setTimeout(PROBES_MS);
+    };
+    await withMembers(sendMarks, (_, version, ageMs) => ages.push(ageMs));
+    const [late = 0, direct = 0] = ages;
+    assert.ok(late >= CONFIRMED_MS + BLOCK_MS, `${late} ms`);
+    assert.ok(direct >= CONFIRMED_MS && direct < CONFIRMED_MS + BLOCK_MS, `${direct} ms`);
+  });
 });
