Mesh: a reader also notifies suspect members of the version in force

A host that a reader suspects, for example because it was late with a reply, got no version from it until it was alive again there, while it is alive to itself and serves calls. It then depended on its own poll, which starts late, so that it held an old version for longer than others.

The reader, and the first host of a data centre that has fetched a version, send it to alive and suspect members of their scope. The ranks are still computed from alive members only, so who reads and when is unchanged.

--- a/packages/proxy/src/mesh/configuration-task.ts
+++ b/packages/proxy/src/mesh/configuration-task.ts
@@ -73,6 +73,8 @@
 /** Lower than any version, for a process without a configuration. */
 const NO_VERSION = -1;
 
+type Scope = (info: core.MemberInfo) => boolean;
+
 interface VersionHolder {
   member: core.Member;
   version: number;
@@ -110,20 +112,23 @@
   let pauseController: AbortController | undefined;
   let nearbyWaitTimer: NodeJS.Timeout | undefined;
 
-  const listAliveIds = (isInScope: (info: core.MemberInfo) => boolean): string[] =>
+  const isInDataCentre: Scope = ({ dataCentre }) => dataCentre === settings.dataCentre;
+  const isInRegion: Scope = ({ region }) => region === settings.region;
+
+  const listIds = (isInScope: Scope, statuses: readonly core.MemberStatus[]): string[] =>
     getMembers()
       .list()
-      .filter(({ status, info }) => status === 'alive' && isInScope(info))
+      .filter(({ status, info }) => statuses.includes(status) && isInScope(info))
       .map(({ id }) => id);
 
-  const listDataCentreIds = (): string[] =>
-    listAliveIds(({ dataCentre }) => dataCentre === settings.dataCentre);
+  const listAliveIds = (isInScope: Scope): string[] => listIds(isInScope, ['alive']);
 
-  /** Lists the hosts that share one reader, which is the one with rank 0. */
-  const listReaderGroup = (): string[] => {
-    const region = listAliveIds((info) => info.region === settings.region);
-    return region.length <= MAX_HOSTS_PER_READER ? region : listDataCentreIds();
-  };
+  /** Lists the hosts to notify of a version; a suspect one may only have been late. */
+  const listReceiverIds = (isInScope: Scope): string[] => listIds(isInScope, ['alive', 'suspect']);
+
+  /** Returns the scope of the hosts that share one reader, which is the one with rank 0. */
+  const computeReaderScope = (): Scope =>
+    listAliveIds(isInRegion).length <= MAX_HOSTS_PER_READER ? isInRegion : isInDataCentre;
 
   const computeRank = (ids: readonly string[]): number =>
     Math.max(0, core.chooseByRendezvousHash(READER_HASH_KEY, ids, ids.length).indexOf(settings.id));
@@ -160,8 +165,8 @@
       if (config.version < holder.version) throw new errors.OlderVersionError(config.version);
       if (config.version === holder.version)
         recordConfirmation(holder.confirmedAt, holder.member.id);
-      const nearbyIds = listDataCentreIds();
-      if (computeRank(nearbyIds) === 0) sendVersion(nearbyIds);
+      if (computeRank(listAliveIds(isInDataCentre)) === 0)
+        sendVersion(listReceiverIds(isInDataCentre));
     } catch (error) {
       log.warn('configuration-fetch-failed', {
         from: holder.member.id,
@@ -191,7 +196,7 @@
     const isNearby = member.info.dataCentre === settings.dataCentre;
     if (!preferredHolder || version > preferredHolder.version || isNearby)
       preferredHolder = { member, version, confirmedAt };
-    if (isNearby || ownVersion === undefined || computeRank(listDataCentreIds()) === 0)
+    if (isNearby || ownVersion === undefined || computeRank(listAliveIds(isInDataCentre)) === 0)
       startFetch();
     else {
       clearTimeout(nearbyWaitTimer);
@@ -227,7 +232,7 @@
       const respondedAt = Math.min(readAt + waitMs, clock.monotonic());
       recordConfirmation(configs.length === 0 ? respondedAt : readAt, 'source');
       readStartedAt = undefined;
-      sendVersion(listReaderGroup());
+      sendVersion(listReceiverIds(computeReaderScope()));
       if (configs.length > 0) await timers.setTimeout(BATCH_DELAY_SHARE * applyWithinMs);
     } catch (error) {
       if (!isStopped) markSourceUnreachable(error as Error);
@@ -238,7 +243,10 @@
 
   const followSource = async (): Promise<void> => {
     while (!isStopped) {
-      const step = pollSchedule.computeNextStep(computeRank(listReaderGroup()), clock.monotonic());
+      const step = pollSchedule.computeNextStep(
+        computeRank(listAliveIds(computeReaderScope())),
+        clock.monotonic(),
+      );
       /* eslint-disable no-await-in-loop -- reads and pauses are sequential */
       if (step.type === 'poll') await readSource(step.waitMs);
       else if (isReadDue) await readSource(0);
