--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -7,6 +7,7 @@
 import * as callerConnections from './caller-connections.js';
 import type * as callRunner from './call-runner.js';
 import * as constants from './constants.js';
+import type * as configurationTask from './configuration-task.js';
 import type * as context from './context.js';
 import * as errors from './errors.js';
 import type * as linkUsages from './link-usage.js';
@@ -36,6 +37,7 @@
   ctx: context.MeshContext;
   linkUsage: linkUsages.LinkUsage;
   getRoutes: () => mesh.RouteTable | undefined;
+  configuration: Pick<configurationTask.ConfigurationTask, 'checkUnknownRoute' | 'getConfirmation'>;
   runner: callRunner.CallRunner;
   /** Returns whether the target on this host made the call as part of another one it is running. */
   isNested: (callId: string) => boolean;
@@ -47,6 +49,11 @@
 /** Added to the idle time-out, so that a request in transit does not reach a closed connection. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 const MS_PER_SECOND = 1_000;
+/** A call on a route that may exist is rejected as not run. */
+const statusByVerdict: Record<mesh.UnknownRouteVerdict['type'], number> = {
+  absent: constants.HTTP.notFound,
+  undecided: constants.HTTP.unavailable,
+};
 
 /**
  * Creates the server; it listens after `start`.
@@ -55,7 +62,7 @@
  * const callers = createCallerServer({ ctx, getRoutes, runner, isNested, byteBudget });
  */
 export function createCallerServer(input: CallerServerInput): CallerServer {
-  const { ctx, linkUsage, getRoutes, runner, isNested, byteBudget } = input;
+  const { ctx, linkUsage, getRoutes, configuration, runner, isNested, byteBudget } = input;
   const { settings, clock, log, metrics, protocol } = ctx;
   const server = http.createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
@@ -135,11 +142,32 @@
     return Number.isFinite(value) && value > 0 ? value : constants.DEFAULT_DEADLINE_MS;
   };
 
-  const findRoute = (request: http.IncomingMessage): mesh.RoutePolicy | number => {
-    const routes = getRoutes();
-    if (!routes) return constants.HTTP.unavailable;
+  const findRoute = (request: http.IncomingMessage): mesh.RoutePolicy | undefined => {
     const path = (request.url ?? '/').split('?')[0] ?? '/';
-    return routes.findRoute(request.headers.host ?? '', path) ?? constants.HTTP.notFound;
+    return getRoutes()?.findRoute(request.headers.host ?? '', path);
+  };
+
+  const rejectUnrouted = (
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    route: mesh.RoutePolicy | undefined,
+  ): void => {
+    const callId = request.headers[protocol.callIdHeader];
+    const verdict = route ? undefined : configuration.checkUnknownRoute();
+    const status = verdict ? statusByVerdict[verdict.type] : constants.HTTP.badRequest;
+    log.info('call-refused', {
+      call: typeof callId === 'string' ? callId : undefined,
+      status,
+      requestHost: request.headers.host,
+      path: request.url,
+      version: getRoutes()?.config.version,
+      ...configuration.getConfirmation(),
+    });
+    sendEmptyResponse(
+      response,
+      status,
+      verdict?.type === 'undecided' ? verdict.retryAfterMs : undefined,
+    );
   };
 
   const handleRequest = (request: http.IncomingMessage, response: http.ServerResponse): void => {
@@ -157,16 +185,8 @@
 
     const callId = request.headers[protocol.callIdHeader];
     const route = findRoute(request);
-    if (typeof callId !== 'string' || typeof route === 'number') {
-      const status = typeof route === 'number' ? route : constants.HTTP.badRequest;
-      log.info('call-refused', {
-        call: typeof callId === 'string' ? callId : undefined,
-        status,
-        requestHost: request.headers.host,
-        path: request.url,
-        version: getRoutes()?.config.version,
-      });
-      sendEmptyResponse(response, status);
+    if (typeof callId !== 'string' || !route) {
+      rejectUnrouted(request, response, route);
       return;
     }
     const rejectAfterClose = (): void => {
--- a/packages/proxy/src/mesh/configuration-task.ts
+++ b/packages/proxy/src/mesh/configuration-task.ts
@@ -6,6 +6,20 @@
 import type * as gossipMembers from './gossip-members.js';
 import type * as types from './types.js';
 
+/** What a process knows of the age of its version. */
+export interface Confirmation {
+  /** Time since the version was confirmed to be the newest, in milliseconds; undefined if never. */
+  ageMs: number | undefined;
+  /** `source`, or the member that sent the confirmation. */
+  confirmedBy: string | undefined;
+  /** Newer version that a member is known to hold. */
+  newerVersion: number | undefined;
+  /** Duration of the read of the source that is under way, in milliseconds. */
+  readMs: number | undefined;
+  /** Whether the last finished read succeeded. */
+  isSourceReachable: boolean;
+}
+
 /** Keeps the configuration of one process up to date, from the source or from peers. */
 export interface ConfigurationTask {
   /**
@@ -13,6 +27,13 @@
    * is the time since that version was confirmed to be the newest.
    */
   recordVersion(member: core.Member, version: number, ageMs: number | undefined): void;
+  /**
+   * Returns whether a route that the version in force lacks is absent for certain; if a read of the
+   * source is to tell, it starts at once.
+   */
+  checkUnknownRoute(): mesh.UnknownRouteVerdict;
+  /** Returns what is known of the age of the version in force, for logs. */
+  getConfirmation(): Confirmation;
   start(): void;
   stop(): void;
 }
@@ -52,6 +73,8 @@
 /** Lower than any version, for a process without a configuration. */
 const NO_VERSION = -1;
 
+type Scope = (info: core.MemberInfo) => boolean;
+
 interface VersionHolder {
   member: core.Member;
   version: number;
@@ -78,6 +101,8 @@
   let isSourceReachable = true;
   let isFetching = false;
   let isReadDue = false;
+  let readStartedAt: number | undefined;
+  let confirmedBy: string | undefined;
   /**
    * Peer from which a newer version is fetched; a peer in this data centre replaces any other,
    * even one with a newer version.
@@ -87,24 +112,33 @@
   let pauseController: AbortController | undefined;
   let nearbyWaitTimer: NodeJS.Timeout | undefined;
 
-  const listAliveIds = (isInScope: (info: core.MemberInfo) => boolean): string[] =>
+  const isInDataCentre: Scope = ({ dataCentre }) => dataCentre === settings.dataCentre;
+  const isInRegion: Scope = ({ region }) => region === settings.region;
+
+  const listIds = (isInScope: Scope, statuses: readonly core.MemberStatus[]): string[] =>
     getMembers()
       .list()
-      .filter(({ status, info }) => status === 'alive' && isInScope(info))
+      .filter(({ status, info }) => statuses.includes(status) && isInScope(info))
       .map(({ id }) => id);
 
-  const listDataCentreIds = (): string[] =>
-    listAliveIds(({ dataCentre }) => dataCentre === settings.dataCentre);
+  const listAliveIds = (isInScope: Scope): string[] => listIds(isInScope, ['alive']);
 
-  /** Lists the hosts that share one reader, which is the one with rank 0. */
-  const listReaderGroup = (): string[] => {
-    const region = listAliveIds((info) => info.region === settings.region);
-    return region.length <= MAX_HOSTS_PER_READER ? region : listDataCentreIds();
-  };
+  /** Lists the hosts to notify of a version; a suspect one may only have been late. */
+  const listReceiverIds = (isInScope: Scope): string[] => listIds(isInScope, ['alive', 'suspect']);
+
+  /** Returns the scope of the hosts that share one reader, which is the one with rank 0. */
+  const computeReaderScope = (): Scope =>
+    listAliveIds(isInRegion).length <= MAX_HOSTS_PER_READER ? isInRegion : isInDataCentre;
 
   const computeRank = (ids: readonly string[]): number =>
     Math.max(0, core.chooseByRendezvousHash(READER_HASH_KEY, ids, ids.length).indexOf(settings.id));
 
+  const recordConfirmation = (at: number, from: string): void => {
+    const now = clock.monotonic();
+    if (now - at < pollSchedule.getConfirmationAgeMs(now)) confirmedBy = from;
+    pollSchedule.recordConfirmation(at);
+  };
+
   const sendVersion = (ids: readonly string[]): void => {
     const ageMs = pollSchedule.getConfirmationAgeMs(clock.monotonic());
     if (getVersion() !== undefined && Number.isFinite(ageMs)) getMembers().sendVersion(ids, ageMs);
@@ -112,6 +146,12 @@
 
   const interruptPause = (): void => pauseController?.abort();
 
+  /** Reads the source at once, or directly after the read that is under way. */
+  const startRead = (): void => {
+    isReadDue = true;
+    interruptPause();
+  };
+
   const isBehind = (): boolean =>
     preferredHolder !== undefined && preferredHolder.version > (getVersion() ?? NO_VERSION);
 
@@ -123,9 +163,10 @@
       const { config, ...transfer } = await fetchFromPeer(holder.member);
       applyConfig(config, holder.member.id, transfer);
       if (config.version < holder.version) throw new errors.OlderVersionError(config.version);
-      if (config.version === holder.version) pollSchedule.recordConfirmation(holder.confirmedAt);
-      const nearbyIds = listDataCentreIds();
-      if (computeRank(nearbyIds) === 0) sendVersion(nearbyIds);
+      if (config.version === holder.version)
+        recordConfirmation(holder.confirmedAt, holder.member.id);
+      if (computeRank(listAliveIds(isInDataCentre)) === 0)
+        sendVersion(listReceiverIds(isInDataCentre));
     } catch (error) {
       log.warn('configuration-fetch-failed', {
         from: holder.member.id,
@@ -133,8 +174,7 @@
         message: (error as Error).message,
       });
       if (preferredHolder === holder) preferredHolder = undefined;
-      isReadDue = true;
-      interruptPause();
+      startRead();
     } finally {
       isFetching = false;
     }
@@ -151,12 +191,12 @@
   const recordVersion = (member: core.Member, version: number, ageMs: number | undefined): void => {
     const ownVersion = getVersion();
     const confirmedAt = ageMs === undefined ? Number.NEGATIVE_INFINITY : clock.monotonic() - ageMs;
-    if (version === ownVersion) pollSchedule.recordConfirmation(confirmedAt);
+    if (version === ownVersion) recordConfirmation(confirmedAt, member.id);
     if (version <= (ownVersion ?? NO_VERSION)) return;
     const isNearby = member.info.dataCentre === settings.dataCentre;
     if (!preferredHolder || version > preferredHolder.version || isNearby)
       preferredHolder = { member, version, confirmedAt };
-    if (isNearby || ownVersion === undefined || computeRank(listDataCentreIds()) === 0)
+    if (isNearby || ownVersion === undefined || computeRank(listAliveIds(isInDataCentre)) === 0)
       startFetch();
     else {
       clearTimeout(nearbyWaitTimer);
@@ -181,6 +221,7 @@
   const readSource = async (waitMs: number): Promise<void> => {
     readController = new AbortController();
     const readAt = clock.monotonic();
+    readStartedAt = readAt;
     isReadDue = false;
     try {
       metrics.count('source_questions_total');
@@ -189,17 +230,23 @@
       markSourceReachable();
       // An empty result came at the end of the wait, or earlier when the source has no configuration.
       const respondedAt = Math.min(readAt + waitMs, clock.monotonic());
-      pollSchedule.recordConfirmation(configs.length === 0 ? respondedAt : readAt);
-      sendVersion(listReaderGroup());
+      recordConfirmation(configs.length === 0 ? respondedAt : readAt, 'source');
+      readStartedAt = undefined;
+      sendVersion(listReceiverIds(computeReaderScope()));
       if (configs.length > 0) await timers.setTimeout(BATCH_DELAY_SHARE * applyWithinMs);
     } catch (error) {
       if (!isStopped) markSourceUnreachable(error as Error);
+    } finally {
+      readStartedAt = undefined;
     }
   };
 
   const followSource = async (): Promise<void> => {
     while (!isStopped) {
-      const step = pollSchedule.computeNextStep(computeRank(listReaderGroup()), clock.monotonic());
+      const step = pollSchedule.computeNextStep(
+        computeRank(listAliveIds(computeReaderScope())),
+        clock.monotonic(),
+      );
       /* eslint-disable no-await-in-loop -- reads and pauses are sequential */
       if (step.type === 'poll') await readSource(step.waitMs);
       else if (isReadDue) await readSource(0);
@@ -215,6 +262,27 @@
 
   return {
     recordVersion,
+    checkUnknownRoute() {
+      const ageMs = pollSchedule.getConfirmationAgeMs(clock.monotonic());
+      const verdict = mesh.decideUnknownRoute(
+        { hasVersion: getVersion() !== undefined, ageMs, isBehind: isBehind(), isSourceReachable },
+        { ...mesh.unknownRouteDefaults, applyWithinMs },
+      );
+      const shouldRead = verdict.type === 'undecided' && verdict.shouldRead;
+      if (shouldRead && readStartedAt === undefined) startRead();
+      return verdict;
+    },
+    getConfirmation() {
+      const now = clock.monotonic();
+      const ageMs = pollSchedule.getConfirmationAgeMs(now);
+      return {
+        ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+        confirmedBy,
+        newerVersion: isBehind() ? preferredHolder?.version : undefined,
+        readMs: readStartedAt === undefined ? undefined : Math.round(now - readStartedAt),
+        isSourceReachable,
+      };
+    },
     start() {
       followSource().catch((error: Error) =>
         log.error('follow-failed', { message: error.message }),
--- a/packages/proxy/src/mesh/gossip-members.ts
+++ b/packages/proxy/src/mesh/gossip-members.ts
@@ -1,6 +1,7 @@
 import * as dgram from 'node:dgram';
 import * as core from '@figshed/core';
 import type * as context from './context.js';
+import * as datagramWait from './datagram-wait.js';
 import * as gossipCodec from './gossip-codec.js';
 import * as registrations from './registration.js';
 import type * as types from './types.js';
@@ -80,6 +81,7 @@
   const { ctx, hostRegistry, sourceEpoch, onChange, onRecalled, onVersion } = input;
   const { settings, clock, log, metrics, random } = ctx;
   const socket = dgram.createSocket('udp4');
+  const wait = datagramWait.createDatagramWait(clock);
   const ownEndpoint: core.Endpoint = { address: settings.address, port: settings.peerPort };
   const listedEndpoints = new Map<string, core.Endpoint>();
   const membership = core.createMembership({
@@ -141,12 +143,15 @@
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- renewal lists, which sends
         recordEpoch(effect.mark.epoch);
         const member = membership.getMember(effect.id);
-        if (member) onVersion(member, effect.mark.version, effect.ageMs);
+        const ageMs =
+          effect.ageMs === undefined ? undefined : effect.ageMs + wait.computeMaxWaitMs();
+        if (member) onVersion(member, effect.mark.version, ageMs);
       }
     });
   };
 
   const receive = (bytes: Buffer, from: core.Endpoint): void => {
+    wait.recordDatagram();
     let message;
     try {
       message = gossipCodec.decodeGossip(bytes);
@@ -231,6 +236,11 @@
     if (epoch !== announcedEpoch) registration.renew();
   });
 
+  const tick = (): void => {
+    wait.startTurn();
+    applyEffects(membership.tick(clock.monotonic()));
+  };
+
   const sendOwnRecord = (): void => {
     const aliveMembers = membership
       .listMembers()
@@ -256,10 +266,7 @@
       await new Promise<void>((resolve) => {
         socket.bind(ownEndpoint.port, ownEndpoint.address, resolve);
       });
-      tickTimer = setInterval(
-        () => applyEffects(membership.tick(clock.monotonic())),
-        TICK_INTERVAL_MS,
-      );
+      tickTimer = setInterval(tick, TICK_INTERVAL_MS);
       contactTimer = setInterval(recontact, RECONTACT_INTERVAL_MS);
       registration.start();
     },
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -175,6 +175,7 @@
     ctx,
     linkUsage,
     getRoutes: () => routes,
+    configuration,
     runner,
     isNested: (callId) => target.isRunningParentOf(callId),
     byteBudget,
--- a/packages/proxy/test/mesh-early-responses.test.ts
+++ b/packages/proxy/test/mesh-early-responses.test.ts
@@ -180,6 +180,7 @@
     linkUsage: linkUsages.createLinkUsage(runtime.systemClock),
     ctx: createContext(),
     getRoutes: () => routes,
+    configuration: {} as never,
     runner: {
       run({ body }: call.Call, responder) {
         streamBody(targetPort, body, endAttempt, {
