Tests: the target of early responses keeps its connection

The test's target closed its connection with unread bytes, so its response was lost in a reset: of 8 runs of the file beside load 4 tests failed, each with a write EPIPE at the request to that target. The connection stays open now; the assertions are the same.

--- a/packages/proxy/test/mesh-early-responses.test.ts
+++ b/packages/proxy/test/mesh-early-responses.test.ts
@@ -128,7 +128,8 @@
     port: targetPort,
     method: 'POST',
     agent: false,
-    headers: { 'content-length': BODY_BYTES },
+    // A target that closes the connection with unread bytes would reset it, and its response be lost.
+    headers: { 'content-length': BODY_BYTES, connection: 'keep-alive' },
   });
   request.on('error', () => undefined);
   endAttempt(request, callbacks);
