--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -5,6 +5,7 @@
  */
 import * as errors from '../shared/errors.js';
 import type * as clock from '../shared/clock.js';
+import * as formerRecordsModule from './former-records.js';
 import * as precedence from './precedence.js';
 import type * as types from './types.js';
 import * as updates from './updates.js';
@@ -47,9 +48,6 @@
   random: clock.Random;
 }
 
-/** How often each member returns the crashes of a member's former record; all of them do. */
-const MAX_CRASH_RETURNS = 4;
-
 interface Probe {
   subject: string;
   sequence: number;
@@ -63,20 +61,6 @@
   expiresAt: number;
 }
 
-/** Returns whether a record holds facts that its process must get back after a restart. */
-function hasRecallable({ departedTarget, crashes }: types.MemberInfo): boolean {
-  return departedTarget !== undefined || (crashes !== undefined && crashes.length > 0);
-}
-
-/** Returns whether a process that has restarted has got back what its former record tells. */
-function hasRecalled(info: types.MemberInfo, former: types.MemberInfo): boolean {
-  const targets = new Set(info.crashes?.map(({ target }) => target));
-  return (
-    (former.departedTarget === undefined || info.departedTarget !== undefined) &&
-    (former.crashes ?? []).every(({ target }) => targets.has(target))
-  );
-}
-
 /**
  * Creates the membership protocol instance of one process.
  *
@@ -90,10 +74,8 @@
   const watermarks = new Map<string, types.ConfigWatermark>();
   const updateQueue = updates.createUpdateQueue();
   const relays = new Map<number, PingRelay>();
-  /** Records of members before their restart, until they know again what these tell. */
-  const previousRecords = new Map<string, { record: types.Member; returns: number }>();
-  /** Records of this process from before its restart whose facts it has got back. */
-  const recalledRecords = new Set<string>();
+  const formerRecords = formerRecordsModule.createFormerRecords();
+  const ownFormerRecords = formerRecordsModule.createOwnFormerRecords();
   let self: types.Member = {
     id: input.id,
     incarnation: input.incarnation,
@@ -118,17 +100,9 @@
     return updateQueue.take(options.maxPiggyback, maxSends, receiver);
   };
 
-  const updatePreviousRecord = (previous: types.Member, member: types.Member): void => {
-    const isRestart = previous.info.instance !== member.info.instance;
-    if (isRestart && hasRecallable(previous.info))
-      previousRecords.set(member.id, { record: previous, returns: 0 });
-    const former = previousRecords.get(member.id)?.record;
-    if (former && hasRecalled(member.info, former.info)) previousRecords.delete(member.id);
-  };
-
   const storeMember = (member: types.Member, now: number): types.MembershipEffect[] => {
     const previous = members.get(member.id);
-    if (previous) updatePreviousRecord(previous, member);
+    if (previous) formerRecords.update(previous, member);
     errors.assertInvariant(
       !previous || member.incarnation >= previous.incarnation,
       'incarnation-regress',
@@ -152,20 +126,14 @@
     return replaceSelf({ incarnation: record.incarnation + 1 }, now);
   };
 
-  /** Returns the facts of a record from before the restart of this process, once for each record. */
-  const recallRecord = ({ info, incarnation }: types.Member): types.MembershipEffect[] => {
-    const key = `${info.instance} ${incarnation}`;
-    if (info.instance === self.info.instance || !hasRecallable(info)) return [];
-    if (recalledRecords.has(key)) return [];
-    recalledRecords.add(key);
-    return [{ type: 'self-recalled', info }];
+  const refuteRecord = (record: types.Member, now: number): types.MembershipEffect[] => {
+    const recalled = ownFormerRecords.take(record, self.info.instance);
+    const effects: types.MembershipEffect[] = recalled
+      ? [{ type: 'self-recalled', info: recalled }]
+      : [];
+    return [...effects, ...overrideRecord(record, now)];
   };
 
-  const refuteRecord = (record: types.Member, now: number): types.MembershipEffect[] => [
-    ...recallRecord(record),
-    ...overrideRecord(record, now),
-  ];
-
   const mergeRecord = (member: types.Member, now: number): types.MembershipEffect[] => {
     if (member.id === self.id) return refuteRecord(member, now);
     return precedence.isNewerRecord(member, members.get(member.id)) ? storeMember(member, now) : [];
@@ -282,7 +250,7 @@
     if (isDeadOrLeft && ageMs >= options.forgetMs) {
       members.delete(member.id);
       watermarks.delete(member.id);
-      previousRecords.delete(member.id);
+      formerRecords.delete(member.id);
       changedAtById.delete(member.id);
     }
     return [];
@@ -301,20 +269,6 @@
       return [{ type: 'send', to: getEndpoint(member), message: { type: 'mark', ...message } }];
     });
 
-  /**
-   * Returns the record of a member from before its restart. The member does not announce again the
-   * crashes that have been cleared since, so these are returned a few times only.
-   */
-  const takePreviousRecord = (id: string): types.Member | undefined => {
-    const entry = previousRecords.get(id);
-    if (!entry) return undefined;
-    entry.returns += 1;
-    const { departedTarget } = entry.record.info;
-    if (departedTarget === undefined && entry.returns >= MAX_CRASH_RETURNS)
-      previousRecords.delete(id);
-    return entry.record;
-  };
-
   const selectAckMembers = (ping: {
     from: string;
     isContact: boolean;
@@ -330,7 +284,7 @@
       storedRecord &&
       (storedRecord.status !== 'alive' ||
         (sentRecord && sentRecord.incarnation < storedRecord.incarnation));
-    const previousRecord = takePreviousRecord(receiver);
+    const previousRecord = formerRecords.take(receiver);
     const leadingRecords = [
       ...(previousRecord ? [previousRecord] : []),
       ...(isContact || options.shouldIncludeSelf ? [self] : []),
