--- a/packages/core/src/mesh/link-pacer.ts
+++ b/packages/core/src/mesh/link-pacer.ts
@@ -27,7 +27,7 @@
 }
 
 export const linkPacerDefaults: Omit<LinkPacerOptions, 'linkMbps'> = {
-  minPacedShare: 0.45,
+  minPacedShare: 0.6,
   maxPacedShare: 0.7,
   reserveShare: 0.15,
   // Half of the round-trip time between regions, so that nested calls hardly notice a chunk.
--- a/packages/core/test/mesh-link-pacer.test.ts
+++ b/packages/core/test/mesh-link-pacer.test.ts
@@ -56,7 +56,7 @@
   it('is what the other traffic leaves, between its bounds', () => {
     [
       { otherShare: 0, expected: maxPacedShare },
-      { otherShare: 0.25, expected: 0.6 },
+      { otherShare: 0.2, expected: 0.65 },
       { otherShare: 0.9, expected: minPacedShare },
     ].forEach(({ otherShare, expected }) => {
       const share = computeShare(otherShare);
