--- a/review/common/case.mjs
+++ b/review/common/case.mjs
@@ -111,7 +111,7 @@
   setTimeout(() => fail(new Error('time limit')), TIME_LIMIT_MS);
   try {
     fleet = await startFleet(options);
-    watch = platform.watchFleet(fleet, record, options);
+    watch = platform.watchFleet(fleet, record);
     const breaches = await run(fleet, record, watch);
     watch.stop();
     breaches.forEach((breach) => record('breach', { breach }));
