--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -7,8 +7,11 @@
 import * as cases from '../common/case.mjs';
 import * as callers from '../common/caller.mjs';
 
+/** False if the case runs without its disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 const ROUNDS = 5;
-const methods = cases.hasTrouble ? ['GET', 'DELETE'] : ['POST'];
+const methods = hasTrouble ? ['GET', 'DELETE'] : ['POST'];
 
 /** A stored request, as a capture or an archive of requests holds it. */
 const formatStoredRequest = (id, headers = '') =>
@@ -37,6 +40,7 @@
 ];
 
 const options = {
+  hasTrouble,
   hosts: cases.listHosts(['front', 'shim-registry', 'shim-registry']),
   slots: 9,
   config: standIns.createMeshConfig({
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -7,6 +7,9 @@
 import * as cases from '../common/case.mjs';
 import * as traffic from '../common/traffic.mjs';
 
+/** False if the case runs without its disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 const CALM_MS = 3_500;
 const GARBLE_MS = 5_500;
 const AFTER_MS = 2_000;
@@ -17,6 +20,7 @@
 const MAX_CUT = 3;
 
 const options = {
+  hasTrouble,
   hosts: cases.listHosts([
     'shim-registry',
     'shim-registry',
@@ -70,7 +74,7 @@
     record,
   });
   await timers.setTimeout(CALM_MS);
-  isGarbling = cases.hasTrouble;
+  isGarbling = hasTrouble;
   await timers.setTimeout(GARBLE_MS);
   isGarbling = false;
   await timers.setTimeout(AFTER_MS);
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -9,6 +9,9 @@
 import * as traffic from '../common/traffic.mjs';
 import * as upstreams from '../common/upstream.mjs';
 
+/** False if the case runs without its disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 const SLOTS = 9;
 const CALM_MS = 4_000;
 const LATE_MS = 3_000;
@@ -22,6 +25,7 @@
 const HEARTBEATS_BEFORE = 50;
 
 const options = {
+  hasTrouble,
   hosts: cases.listHosts(['order-desk', 'order-desk', 'order-desk', 'front']),
   slots: SLOTS,
   config: standIns.createMeshConfig({
@@ -63,7 +67,7 @@
   const acknowledgedAt = performance.now();
   record('deregistered', { id, status });
   if (status !== 200) throw new Error('the deregistration was not acknowledged');
-  if (cases.hasTrouble) {
+  if (hasTrouble) {
     fleet.hosts.forEach(({ child }) => child.kill('SIGKILL'));
     record('killed', { hosts: fleet.hosts.length });
   }
--- a/review/common/case.mjs
+++ b/review/common/case.mjs
@@ -22,9 +22,6 @@
   retries: { ratio: 0.2, reserve: 56 },
 };
 
-/** False if the case runs without its disruption. */
-export const hasTrouble = process.env.TROUBLE !== '0';
-
 function isFree(octet) {
   return new Promise((resolve) => {
     const server = net.createServer();
@@ -79,8 +76,9 @@
   }));
 
 /**
- * Runs a case and exits. `run` receives the fleet, a function that writes a line of the record, and the
- * watch of the platform; it returns what broke the rule, one text for each breach.
+ * Runs a case, with its disruption if `hasTrouble` is set, and exits. `run` receives the fleet, a
+ * function that writes a line of the record, and the watch of the platform; it returns what broke the
+ * rule, one text for each breach.
  */
 export async function runCase(options, run) {
   const startedAt = performance.now();
@@ -89,7 +87,7 @@
     const at = ((performance.now() - startedAt) / 1_000).toFixed(3);
     stream.write(`${at} ${event} ${JSON.stringify(details)}\n`);
   };
-  record('start', { trouble: hasTrouble });
+  record('start', { trouble: options.hasTrouble });
   let fleet;
   let watch;
   const end = async (code) => {
