Mesh: client accounts with API keys, and the proof that a configuration is the newest

Cause: the route mesh knew no client accounts, so the API key of a caller reached the target, calls with unknown keys ran, and a withdrawn key went on working on a host that was cut off.

Change: accounts arrive with the configuration (whole or as a delta), keys are kept as digests, the account's name reaches the target, and a host without a recent proof that its version is the newest rejects keyed calls.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -88,6 +88,7 @@
 export { isNewerRecord } from './membership/precedence.js';
 export type {
   ConfigWatermark,
+  VersionProofStamp,
   Endpoint,
   GossipMessage,
   Member,
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -64,6 +64,12 @@
   epoch?: number | undefined;
 }
 
+/** How long ago a version was proven to be the newest, in milliseconds. */
+export interface VersionProofStamp {
+  version: number;
+  ageMs: number;
+}
+
 export type GossipMessage =
   | {
       type: 'ping';
@@ -74,7 +80,15 @@
       mark: ConfigWatermark;
       members: Member[];
     }
-  | { type: 'ack'; sequence: number; from: string; mark: ConfigWatermark; members: Member[] }
+  | {
+      type: 'ack';
+      sequence: number;
+      from: string;
+      mark: ConfigWatermark;
+      members: Member[];
+      /** Proof of the sender when it sent the ack, if it has one and its deployment needs it. */
+      proof?: VersionProofStamp | undefined;
+    }
   | {
       type: 'ping-request';
       sequence: number;
--- a/packages/core/src/mesh/config-delta.ts
+++ b/packages/core/src/mesh/config-delta.ts
@@ -21,6 +21,8 @@
   services: ListDelta<types.MeshService>;
   /** Null if the limits are the same. */
   limits: types.CallerLimits | null;
+  /** Null if the later configuration has no accounts; undefined if neither has. */
+  accounts?: ListDelta<types.ClientAccount> | null | undefined;
 }
 
 interface Content {
@@ -91,6 +93,22 @@
   });
 }
 
+/** Leaves the field out where neither configuration has accounts, as older processes expect it. */
+function computeAccountsDelta(
+  from: types.MeshConfig,
+  to: types.MeshConfig,
+): Pick<ConfigDelta, 'accounts'> {
+  if (to.accounts) return { accounts: computeListDelta(from.accounts ?? [], to.accounts) };
+  return from.accounts ? { accounts: null } : {};
+}
+
+function applyAccountsDelta(
+  config: types.MeshConfig,
+  { accounts }: ConfigDelta,
+): Pick<types.MeshConfig, 'accounts'> {
+  return accounts ? { accounts: applyListDelta(config.accounts ?? [], accounts) } : {};
+}
+
 /**
  * Computes the difference between two configurations. Routes and services are matched by name and
  * content; one whose order relative to the kept ones changes counts as new.
@@ -104,6 +122,7 @@
     routes: computeListDelta(from.routes, to.routes),
     services: computeListDelta(from.services, to.services),
     limits: isSame(from.limits, to.limits) ? null : to.limits,
+    ...computeAccountsDelta(from, to),
   };
 }
 
@@ -121,6 +140,7 @@
     routes: applyListDelta(config.routes, delta.routes),
     services: applyListDelta(config.services, delta.services),
     limits: delta.limits ?? config.limits,
+    ...applyAccountsDelta(config, delta),
   };
 }
 
@@ -131,7 +151,8 @@
  * computeConfigDigest(config) === computeConfigDigest(applyDelta(config, emptyDelta));
  */
 export function computeConfigDigest(config: types.MeshConfig): string {
-  const digestLists = [config.routes, config.services, [config.limits]].map((items) =>
+  const { routes, services, limits, accounts } = config;
+  const digestLists = [routes, services, [limits], ...(accounts ? [accounts] : [])].map((items) =>
     items.map((item) => computeContent(item).digest).join(','),
   );
   return canonical
@@ -149,9 +170,10 @@
  * @example
  * measureDelta(delta) < measureConfig(config);
  */
-export function measureDelta({ routes, services, limits }: ConfigDelta): number {
+export function measureDelta({ routes, services, limits, accounts }: ConfigDelta): number {
   const limitsBytes = limits ? computeContent(limits).bytes : 0;
-  return measureListDelta(routes) + measureListDelta(services) + limitsBytes;
+  const accountsBytes = accounts ? measureListDelta(accounts) : 0;
+  return measureListDelta(routes) + measureListDelta(services) + limitsBytes + accountsBytes;
 }
 
 /**
@@ -160,6 +182,9 @@
  * @example
  * measureConfig(config);
  */
-export function measureConfig({ routes, services }: types.MeshConfig): number {
-  return [...routes, ...services].reduce((sum, item) => sum + computeContent(item).bytes, 0);
+export function measureConfig({ routes, services, accounts = [] }: types.MeshConfig): number {
+  return [...routes, ...services, ...accounts].reduce(
+    (sum, item) => sum + computeContent(item).bytes,
+    0,
+  );
 }
--- a/packages/core/src/mesh/index.ts
+++ b/packages/core/src/mesh/index.ts
@@ -2,6 +2,12 @@
  * Decision logic of the route mesh: routing, traffic splitting, load balancing, admission control
  * and the state machine of a call.
  */
+export {
+  compileAccounts,
+  identifyCaller,
+  type AccountTable,
+  type CallerVerdict,
+} from './accounts.js';
 export {
   hedgeDelayDefaults,
   createHedgeDelayEstimator,
@@ -114,8 +120,15 @@
   type UnknownRouteVerdict,
   type VersionKnowledge,
 } from './version-freshness.js';
+export {
+  createVersionProof,
+  versionProofDefaults,
+  type VersionProof,
+  type VersionProofOptions,
+} from './version-proof.js';
 export type {
   CallerLimits,
+  ClientAccount,
   MeshConfig,
   MeshService,
   RefusalReason,
--- a/packages/core/src/mesh/routes.ts
+++ b/packages/core/src/mesh/routes.ts
@@ -1,9 +1,12 @@
 /** Route look-up by Host header and longest path prefix. */
+import * as accountTables from './accounts.js';
 import type * as types from './types.js';
 
 /** Routes of one configuration version, indexed by host name. */
 export interface RouteTable {
   config: types.MeshConfig;
+  /** Undefined if callers need no API keys. */
+  accounts: accountTables.AccountTable | undefined;
   findRoute(host: string, path: string): types.RoutePolicy | undefined;
 }
 
@@ -28,6 +31,7 @@
   );
   return {
     config,
+    accounts: config.accounts && accountTables.compileAccounts(config.accounts),
     findRoute: (host, path) =>
       routesByHost
         .get(normaliseHostHeader(host))
--- a/packages/core/src/mesh/types.ts
+++ b/packages/core/src/mesh/types.ts
@@ -20,6 +20,21 @@
   rank: number;
   /** Maximum number of targets that may run one call. */
   maxAttempts: number;
+  /** True if its calls need no API key; undefined counts as false. */
+  isPublic?: boolean | undefined;
+}
+
+/** A client account, which callers identify themselves with by an API key. */
+export interface ClientAccount {
+  name: string;
+  /** SHA-256 digests of its API keys, in hexadecimal. */
+  keyDigests: readonly string[];
+  /** Priority of its calls, which replaces that of the route; undefined if it has none. */
+  rank?: number | undefined;
+  /** Calls per second over all hosts; 0 for no limit. */
+  ratePerSecond: number;
+  /** Calls that it may make at once beyond its rate. */
+  burst: number;
 }
 
 export interface CallerLimits {
@@ -41,6 +56,8 @@
   routes: readonly RoutePolicy[];
   services: readonly MeshService[];
   limits: CallerLimits;
+  /** Accounts that may make calls; undefined if callers need no API keys. */
+  accounts?: readonly ClientAccount[] | undefined;
 }
 
 /** Reason for which a call was refused without having run. */
--- /dev/null
+++ b/packages/core/src/mesh/version-proof.ts
@@ -0,0 +1,70 @@
+/**
+ * Age of the proof that the configuration in force is the newest. Keys must stop working on every host
+ * within a bound, also on one that was suspended, restarted or cut off, so the age counts from when the
+ * question was asked whose response proved it, and never from when a message arrived: a message may
+ * have waited anywhere for any time.
+ *
+ * The monotonic clock stands still while a machine is suspended. The wall clock does not, but it may be
+ * stepped. When the two move apart, the time that has passed is not known, and the proof is void.
+ */
+import type * as clock from '../shared/clock.js';
+
+export interface VersionProofOptions {
+  /** Difference between the two clocks from which on the proof is void, in milliseconds. */
+  maxClockDriftMs: number;
+}
+
+export const versionProofDefaults: VersionProofOptions = {
+  // Above the slewing of a synchronised clock between two proofs, below any bound on keys.
+  maxClockDriftMs: 100,
+};
+
+export interface VersionProof {
+  /**
+   * Records that the version in force was the newest at `provenAt`, by a response to a question that
+   * was asked at `askedAt`. Both are monotonic times in milliseconds.
+   */
+  record(proof: { askedAt: number; provenAt: number }): void;
+  /** Returns the age of the newest proof in milliseconds; infinite without a valid one. */
+  getAgeMs(): number;
+}
+
+/**
+ * Creates an empty proof.
+ *
+ * @example
+ * const proof = createVersionProof(clock, versionProofDefaults);
+ * proof.record({ askedAt: 1_000, provenAt: 1_000 });
+ */
+export function createVersionProof(
+  { now, monotonic }: clock.Clock,
+  options: VersionProofOptions,
+): VersionProof {
+  const getClockOffset = (): number => now() - monotonic();
+  let clockOffset = getClockOffset();
+  /** Questions that were asked before this time prove nothing. */
+  let validSince = Number.NEGATIVE_INFINITY;
+  let provenAt = Number.NEGATIVE_INFINITY;
+
+  const checkClocks = (): void => {
+    const offset = getClockOffset();
+    if (Math.abs(offset - clockOffset) <= options.maxClockDriftMs) return;
+    clockOffset = offset;
+    validSince = monotonic();
+    provenAt = Number.NEGATIVE_INFINITY;
+  };
+
+  return {
+    record(proof) {
+      checkClocks();
+      if (proof.askedAt < validSince) return;
+      provenAt = Math.max(provenAt, proof.provenAt);
+      // Slow drift must not add up over many proofs.
+      clockOffset = getClockOffset();
+    },
+    getAgeMs() {
+      checkClocks();
+      return monotonic() - provenAt;
+    },
+  };
+}
--- a/packages/proxy/src/gossip-schemas.ts
+++ b/packages/proxy/src/gossip-schemas.ts
@@ -68,7 +68,11 @@
 /** Schema of a gossip message received from another process. */
 export const gossipMessageSchema = z.discriminatedUnion('type', [
   z.object({ type: z.literal('ping'), isContact: z.boolean(), ...messageFields }),
-  z.object({ type: z.literal('ack'), ...messageFields }),
+  z.object({
+    type: z.literal('ack'),
+    ...messageFields,
+    proof: z.object({ version: z.number().int(), ageMs: z.number().nonnegative() }).optional(),
+  }),
   z.object({ type: z.literal('ping-request'), subject: z.string(), ...messageFields }),
   z.object({
     type: z.literal('mark'),
--- a/packages/proxy/src/mesh/call-log.ts
+++ b/packages/proxy/src/mesh/call-log.ts
@@ -55,6 +55,7 @@
       log[isSuccessful ? 'info' : 'warn']('call', {
         call: call.callId,
         route: call.route.name,
+        account: call.account?.name,
         version: call.version,
         service: summary.service,
         nested: call.isNested || undefined,
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -293,6 +293,7 @@
       const handler = guard.wrapAll(createAttemptHandler(targetHostId, attemptNumber, openedAt));
       const request: types.Attempt = {
         callId: call.callId,
+        account: call.account?.name,
         service,
         route: route.name,
         method: call.method,
@@ -303,7 +304,7 @@
         isStreamed: !Buffer.isBuffer(call.body),
         mayBeLate,
         isTrial: verdict.isTrial,
-        rank: call.isNested ? NESTED_CALL_RANK : route.rank,
+        rank: call.isNested ? NESTED_CALL_RANK : (call.account?.rank ?? route.rank),
         objectiveAt,
         deadlineAt,
       };
--- a/packages/proxy/src/mesh/call.ts
+++ b/packages/proxy/src/mesh/call.ts
@@ -6,6 +6,8 @@
 /** A call as received from the caller. */
 export interface Call {
   callId: string;
+  /** Account that the caller has identified itself with; undefined without one. */
+  account: mesh.ClientAccount | undefined;
   route: mesh.RoutePolicy;
   /** Version of the configuration that the route comes from. */
   version: number;
--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -5,6 +5,7 @@
 import * as upstreamResponse from './upstream-response.js';
 import * as bodyReader from './body-reader.js';
 import type * as calls from './call.js';
+import type * as callerAdmissions from './caller-admission.js';
 import * as callGuards from './call-guard.js';
 import * as callerConnections from './caller-connections.js';
 import type * as callRunner from './call-runner.js';
@@ -40,6 +41,7 @@
   linkUsage: linkUsages.LinkUsage;
   getRoutes: () => mesh.RouteTable | undefined;
   configuration: Pick<configurationTask.ConfigurationTask, 'checkUnknownRoute' | 'getConfirmation'>;
+  admission: callerAdmissions.CallerAdmission;
   runner: callRunner.CallRunner;
   /** Returns whether the target on this host made the call as part of another one it is running. */
   isNested: (callId: string) => boolean;
@@ -61,10 +63,11 @@
  * Creates the server; it listens after `start`.
  *
  * @example
- * const callers = createCallerServer({ ctx, getRoutes, runner, isNested, byteBudget });
+ * const callers = createCallerServer(input);
  */
 export function createCallerServer(input: CallerServerInput): CallerServer {
-  const { ctx, linkUsage, getRoutes, configuration, runner, isNested, byteBudget } = input;
+  const { ctx, linkUsage, getRoutes, configuration, admission, runner, isNested, byteBudget } =
+    input;
   const { settings, clock, log, metrics, protocol } = ctx;
   const server = http.createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
@@ -79,6 +82,11 @@
     protocol.callerServiceHeader,
     protocol.notExecutedHeader,
   ]);
+  const droppedHeadersWithAccounts = new Set([
+    ...droppedHeaders,
+    protocol.keyHeader,
+    protocol.accountHeader,
+  ]);
   let isClosed = false;
   let respondBefore = Number.POSITIVE_INFINITY;
   let maxBodyBytes = constants.MAX_BUFFERED_BYTES;
@@ -92,6 +100,7 @@
     metrics.count('answers_own_total', { status: String(status) });
     response.writeHead(status, [
       ...(retryAfterMs > 0 ? ['Retry-After', (retryAfterMs / MS_PER_SECOND).toFixed(3)] : []),
+      ...(status === constants.HTTP.unauthorized ? ['WWW-Authenticate', protocol.keyScheme] : []),
       ...connections.formatConnectionClose(response),
       'Content-Length',
       '0',
@@ -180,6 +189,27 @@
     );
   };
 
+  const rejectUnadmitted = (
+    callId: string,
+    response: http.ServerResponse,
+    version: number,
+    refusal: Extract<callerAdmissions.AdmissionVerdict, { type: 'refused' }>,
+  ): void => {
+    const { status, cause, retryAfterMs, account, proofAgeMs } = refusal;
+    metrics.count('calls_unadmitted_total', { cause });
+    log.info('call-refused', {
+      call: callId,
+      status,
+      cause,
+      account,
+      version,
+      retryAfterMs: Math.round(retryAfterMs),
+      proofAgeMs,
+      ...configuration.getConfirmation(),
+    });
+    sendEmptyResponse(response, status, retryAfterMs);
+  };
+
   const handleRequest = (
     request: http.IncomingMessage,
     response: http.ServerResponse,
@@ -222,7 +252,13 @@
       rejectAfterClose();
       return;
     }
-    const runCall = (body: requestBodies.RequestBody): void => {
+    const isNestedCall = isNested(callId);
+    const accounts = getRoutes()?.accounts;
+    const version = getRoutes()?.config.version ?? 0;
+    const runCall = (
+      account: mesh.ClientAccount | undefined,
+      body: requestBodies.RequestBody,
+    ): void => {
       if (isClosed) {
         rejectAfterClose();
         return;
@@ -230,17 +266,22 @@
       handleDisconnect = runner.run(
         {
           callId,
+          account,
           route,
-          version: getRoutes()?.config.version ?? 0,
+          version,
           method: request.method ?? 'GET',
           path: request.url ?? '/',
           headers: [
-            ...meshHeaders.copyHeaders(request.rawHeaders, droppedHeaders),
+            ...meshHeaders.copyHeaders(
+              request.rawHeaders,
+              accounts ? droppedHeadersWithAccounts : droppedHeaders,
+            ),
             protocol.callerServiceHeader,
             settings.service,
+            ...(account ? [protocol.accountHeader, account.name] : []),
           ],
           body,
-          isNested: isNested(callId),
+          isNested: isNestedCall,
           receivedAt,
           deadlineAt: Math.min(receivedAt + readDeadlineMs(request), respondBefore),
         },
@@ -248,19 +289,38 @@
       );
       if (socket.destroyed) handleDisconnect();
     };
-    requestBodies
-      .receiveBody(request, byteBudget, {
-        mayStream: !route.isRepeatable,
-        maxBytes: maxBodyBytes,
-      })
-      .then(guard.wrap(runCall))
-      .catch(
+    const receiveCall = (account: mesh.ClientAccount | undefined): void => {
+      requestBodies
+        .receiveBody(request, byteBudget, {
+          mayStream: !route.isRepeatable,
+          maxBytes: maxBodyBytes,
+        })
+        .then(guard.wrap((body: requestBodies.RequestBody) => runCall(account, body)))
+        .catch(
+          guard.wrap((error: Error) => {
+            const status = statusByBodyError.get(error.constructor);
+            log.info('call-refused', { call: callId, status, message: error.message });
+            if (status !== undefined) sendEmptyResponse(response, status);
+          }),
+        );
+    };
+    const applyVerdict = guard.wrap((verdict: callerAdmissions.AdmissionVerdict): void => {
+      if (verdict.type === 'admitted') receiveCall(verdict.account);
+      else rejectUnadmitted(callId, response, version, verdict);
+    });
+    const verdict = admission.admit({
+      headers: request.headers,
+      route,
+      accounts,
+      isNested: isNestedCall,
+    });
+    if (verdict instanceof Promise)
+      verdict.then(applyVerdict).catch(
         guard.wrap((error: Error) => {
-          const status = statusByBodyError.get(error.constructor);
-          log.info('call-refused', { call: callId, status, message: error.message });
-          if (status !== undefined) sendEmptyResponse(response, status);
+          throw error;
         }),
       );
+    else applyVerdict(verdict);
   };
 
   server.on('request', (request, response) => {
--- a/packages/proxy/src/mesh/configuration-codec.ts
+++ b/packages/proxy/src/mesh/configuration-codec.ts
@@ -40,6 +40,7 @@
   objectiveMs: z.number(),
   rank: z.number(),
   maxAttempts: z.number(),
+  isPublic: z.boolean().optional(),
 });
 const serviceSchema = z.object({
   name: z.string(),
@@ -52,26 +53,36 @@
   headerTimeoutMs: z.number(),
   idleTimeoutMs: z.number(),
 });
+const accountSchema = z.object({
+  name: z.string(),
+  keyDigests: z.array(z.string()),
+  rank: z.number().optional(),
+  ratePerSecond: z.number(),
+  burst: z.number(),
+});
 const configSchema = z.object({
   version: z.number(),
   routes: z.array(routeSchema),
   services: z.array(serviceSchema),
   limits: limitsSchema,
+  accounts: z.array(accountSchema).optional(),
 });
 const indexSchema = z.number().int().nonnegative();
+
+function createListDeltaSchema<T extends z.ZodType>(itemSchema: T) {
+  return z.object({
+    removed: z.array(indexSchema),
+    placed: z.array(z.tuple([indexSchema, itemSchema])),
+  });
+}
 const deltasSchema = z
   .array(
     z.object({
       version: z.number(),
-      routes: z.object({
-        removed: z.array(indexSchema),
-        placed: z.array(z.tuple([indexSchema, routeSchema])),
-      }),
-      services: z.object({
-        removed: z.array(indexSchema),
-        placed: z.array(z.tuple([indexSchema, serviceSchema])),
-      }),
+      routes: createListDeltaSchema(routeSchema),
+      services: createListDeltaSchema(serviceSchema),
       limits: limitsSchema.nullable(),
+      accounts: createListDeltaSchema(accountSchema).nullable().optional(),
     }),
   )
   .max(mesh.configHistoryDefaults.maxDeltas);
--- a/packages/proxy/src/mesh/configuration-task.ts
+++ b/packages/proxy/src/mesh/configuration-task.ts
@@ -20,6 +20,13 @@
   isSourceReachable: boolean;
 }
 
+/** Proof by another process; both times are monotonic and in milliseconds. */
+export interface VersionProofRecord {
+  version: number;
+  askedAt: number;
+  provenAt: number;
+}
+
 /** Keeps the configuration of one process up to date, from the source or from peers. */
 export interface ConfigurationTask {
   /**
@@ -32,6 +39,18 @@
    * source is to tell, it starts at once.
    */
   checkUnknownRoute(): mesh.UnknownRouteVerdict;
+  /**
+   * Records that a member's version was the newest at `provenAt`, by its response to a question that
+   * was asked at `askedAt`.
+   */
+  recordProof(member: core.Member, proof: VersionProofRecord): void;
+  /**
+   * Returns the age of the proof that the version in force is the newest, in milliseconds; infinite
+   * without one.
+   */
+  getProofAgeMs(): number;
+  /** Returns the proof to pass on to other members; undefined without one. */
+  getProof(): { version: number; ageMs: number } | undefined;
   /** Returns what is known of the age of the version in force, for logs. */
   getConfirmation(): Confirmation;
   start(): void;
@@ -41,7 +60,7 @@
 export interface ConfigurationTaskInput {
   ctx: context.MeshContext;
   source: types.ConfigurationSource;
-  getMembers: () => Pick<gossipMembers.Members, 'list' | 'sendVersion'>;
+  getMembers: () => Pick<gossipMembers.Members, 'list' | 'sendVersion' | 'requestProof'>;
   fetchFromPeer: (member: core.Member) => Promise<types.FetchedConfiguration>;
   /** Returns the version in force; undefined before the first configuration. */
   getVersion: () => number | undefined;
@@ -96,6 +115,11 @@
     { ...mesh.pollScheduleDefaults, applyWithinMs },
     ctx.random,
   );
+  const proof = mesh.createVersionProof(clock, mesh.versionProofDefaults);
+  /** Without a bound on withdrawn keys, proofs are neither requested nor needed. */
+  const needsProof = settings.revokeWithinMs !== undefined;
+  /** Proof of a version that is being fetched. */
+  let proofToCome: VersionProofRecord | undefined;
   let isStopped = false;
   let isSourceReachable = true;
   let isFetching = false;
@@ -144,6 +168,16 @@
     pollSchedule.recordConfirmation(at);
   };
 
+  /** A response to a question that was asked is also a confirmation; one that was not may be late. */
+  const storeProof = ({ askedAt, provenAt }: VersionProofRecord, from: string): void => {
+    proof.record({ askedAt, provenAt });
+    if (proof.getAgeMs() <= clock.monotonic() - provenAt) recordConfirmation(provenAt, from);
+  };
+
+  const adoptProofToCome = (from: string): void => {
+    if (proofToCome && proofToCome.version === getVersion()) storeProof(proofToCome, from);
+  };
+
   const sendVersion = (ids: readonly string[]): void => {
     const ageMs = pollSchedule.getConfirmationAgeMs(clock.monotonic());
     if (getVersion() !== undefined && Number.isFinite(ageMs)) getMembers().sendVersion(ids, ageMs);
@@ -167,8 +201,9 @@
     try {
       const { config, ...transfer } = await fetchFromPeer(holder.member);
       applyConfig(config, holder.member.id, transfer);
+      adoptProofToCome(holder.member.id);
       if (config.version < holder.version) throw new errors.OlderVersionError(config.version);
-      if (config.version === holder.version)
+      if (config.version === holder.version && !needsProof)
         recordConfirmation(holder.confirmedAt, holder.member.id);
       if (computeRank(isInDataCentre) === 0) sendVersion(listReceiverIds(isInDataCentre));
     } catch (error) {
@@ -195,7 +230,9 @@
   const recordVersion = (member: core.Member, version: number, ageMs: number | undefined): void => {
     const ownVersion = getVersion();
     const confirmedAt = ageMs === undefined ? Number.NEGATIVE_INFINITY : clock.monotonic() - ageMs;
-    if (version === ownVersion) recordConfirmation(confirmedAt, member.id);
+    if (version === ownVersion && !needsProof) recordConfirmation(confirmedAt, member.id);
+    if (needsProof && ageMs !== undefined && version >= (ownVersion ?? NO_VERSION))
+      getMembers().requestProof(member);
     if (version <= (ownVersion ?? NO_VERSION)) return;
     const isNearby = member.info.dataCentre === settings.dataCentre;
     if (!preferredHolder || version > preferredHolder.version || isNearby)
@@ -233,7 +270,10 @@
       markSourceReachable();
       // An empty result came at the end of the wait, or earlier when the source has no configuration.
       const respondedAt = Math.min(readAt + waitMs, clock.monotonic());
+      const isWholeWait = configs.length === 0 && clock.monotonic() - readAt >= waitMs;
+      const provenAt = isWholeWait ? readAt + waitMs : readAt;
       recordConfirmation(configs.length === 0 ? respondedAt : readAt, 'source');
+      proof.record({ askedAt: readAt, provenAt });
       readStartedAt = undefined;
       sendVersion(listReceiverIds(computeReaderScope()));
       if (configs.length > 0) await timers.setTimeout(BATCH_DELAY_SHARE * applyWithinMs);
@@ -265,6 +305,19 @@
 
   return {
     recordVersion,
+    recordProof(member, record) {
+      if (!needsProof) return;
+      if (record.version === getVersion()) storeProof(record, member.id);
+      else if (record.version > (getVersion() ?? NO_VERSION)) proofToCome = record;
+    },
+    getProofAgeMs: proof.getAgeMs,
+    getProof() {
+      const version = getVersion();
+      const ageMs = proof.getAgeMs();
+      return needsProof && version !== undefined && Number.isFinite(ageMs)
+        ? { version, ageMs: Math.ceil(ageMs) }
+        : undefined;
+    },
     checkUnknownRoute() {
       const ageMs = pollSchedule.getConfirmationAgeMs(clock.monotonic());
       const verdict = mesh.decideUnknownRoute(
--- a/packages/proxy/src/mesh/constants.ts
+++ b/packages/proxy/src/mesh/constants.ts
@@ -74,10 +74,12 @@
 export const HTTP = {
   ok: 200,
   badRequest: 400,
+  unauthorized: 401,
   notFound: 404,
   requestTimeout: 408,
   payloadTooLarge: 413,
   misdirected: 421,
+  tooManyRequests: 429,
   headersTooLarge: 431,
   badGateway: 502,
   unavailable: 503,
--- a/packages/proxy/src/mesh/gossip-members.ts
+++ b/packages/proxy/src/mesh/gossip-members.ts
@@ -1,5 +1,6 @@
 import * as dgram from 'node:dgram';
 import * as core from '@figshed/core';
+import type * as configurationTask from './configuration-task.js';
 import type * as context from './context.js';
 import * as datagramWait from './datagram-wait.js';
 import * as gossipCodec from './gossip-codec.js';
@@ -16,6 +17,8 @@
   setInfo(info: Partial<core.MemberInfo>): void;
   /** Sets the configuration version that gossip messages carry. */
   setVersion(version: number): void;
+  /** Asks a member how long ago its version was proven to be the newest. */
+  requestProof(member: core.Member): void;
   /** Sends the version to members; it was confirmed to be the newest `ageMs` ago. */
   sendVersion(ids: readonly string[], ageMs: number): void;
   start(): Promise<void>;
@@ -36,6 +39,10 @@
    * confirmed to be the newest.
    */
   onVersion: (member: core.Member, version: number, ageMs: number | undefined) => void;
+  /** Returns the proof that acks carry; undefined if there is none. */
+  getProof: () => core.VersionProofStamp | undefined;
+  /** Called with the proof in an ack. */
+  onProof: (member: core.Member, proof: configurationTask.VersionProofRecord) => void;
 }
 
 const TICK_INTERVAL_MS = 100;
@@ -46,6 +53,9 @@
 /** How often a host that is not alive is contacted; partitions heal within a few intervals. */
 const RECONTACT_INTERVAL_MS = 500;
 
+/** Pings whose acks may still arrive; an older proof would be of no use. */
+const MAX_SENT_PINGS = 64;
+
 /** Version in the watermark of a process without a configuration. */
 const NO_VERSION = -1;
 /** Lower than any epoch. */
@@ -78,7 +88,8 @@
  * const members = createMembers({ ctx, hostRegistry, sourceEpoch, onChange, onVersion });
  */
 export function createMembers(input: MembersInput): Members {
-  const { ctx, hostRegistry, sourceEpoch, onChange, onRecalled, onVersion } = input;
+  const { ctx, hostRegistry, sourceEpoch, onChange, onRecalled, onVersion, getProof, onProof } =
+    input;
   const { settings, clock, log, metrics, random } = ctx;
   const socket = dgram.createSocket('udp4');
   const wait = datagramWait.createDatagramWait(clock);
@@ -107,8 +118,25 @@
   /** Highest epoch of the source that a member has sent and this process had not received yet. */
   let announcedEpoch = NO_EPOCH;
 
+  /** Monotonic times at which pings were sent, by their sequence numbers. */
+  const pingTimes = new Map<number, number>();
+
+  const recordPing = (sequence: number): void => {
+    pingTimes.set(sequence, clock.monotonic());
+    const [oldest] = pingTimes.keys();
+    if (oldest !== undefined && pingTimes.size > MAX_SENT_PINGS) pingTimes.delete(oldest);
+  };
+
+  /** Adds the proof to this process's own acks; a relayed one carries that of its sender. */
+  const stampProof = (message: core.GossipMessage): core.GossipMessage => {
+    if (message.type !== 'ack' || message.from !== settings.id) return message;
+    const proof = getProof();
+    return proof ? { ...message, proof } : message;
+  };
+
   const sendDatagram = (to: core.Endpoint, message: core.GossipMessage): void => {
-    const bytes = gossipCodec.encodeGossip(message);
+    if (message.type === 'ping') recordPing(message.sequence);
+    const bytes = gossipCodec.encodeGossip(stampProof(message));
     metrics.count('gossip_datagrams_total');
     socket.send(bytes, to.port, to.address, (error) => {
       if (error) metrics.count('gossip_send_failures_total');
@@ -151,6 +179,19 @@
     });
   };
 
+  /** The age counts from the ping, since the ack may have waited on its way. */
+  const receiveProof = ({
+    sequence,
+    from,
+    proof,
+  }: Extract<core.GossipMessage, { type: 'ack' }>): void => {
+    const askedAt = pingTimes.get(sequence);
+    pingTimes.delete(sequence);
+    const member = membership.getMember(from);
+    if (!proof || askedAt === undefined || !member) return;
+    onProof(member, { version: proof.version, askedAt, provenAt: askedAt - proof.ageMs });
+  };
+
   const receive = (bytes: Buffer, from: core.Endpoint): void => {
     wait.recordDatagram();
     let message;
@@ -162,6 +203,7 @@
       return;
     }
     applyEffects(membership.receive(message, from, clock.monotonic()));
+    if (message.type === 'ack') receiveProof(message);
   };
 
   const isEndpointAlive = (endpoint: core.Endpoint): boolean =>
@@ -260,6 +302,7 @@
       version = nextVersion;
       updateWatermark();
     },
+    requestProof: ({ info }) => contactEndpoint({ address: info.address, port: info.peerPort }),
     sendVersion: (ids, ageMs) => applyEffects(membership.sendWatermark(ids, Math.round(ageMs))),
     async start() {
       socket.on('message', receive);
--- a/packages/proxy/src/mesh/mesh-headers.ts
+++ b/packages/proxy/src/mesh/mesh-headers.ts
@@ -16,6 +16,8 @@
 /** Metadata of an attempt, sent as JSON in one header. Times are remaining milliseconds. */
 export interface AttemptMetadata {
   callId: string;
+  /** Name of the client account, if the call has one. */
+  account?: string | undefined;
   service: string;
   route: string;
   isRepeatable: boolean;
--- a/packages/proxy/src/mesh/peer-client.ts
+++ b/packages/proxy/src/mesh/peer-client.ts
@@ -93,6 +93,7 @@
         ...attempt.headers,
         ...meshHeaders.formatAttemptMetadata({
           callId: attempt.callId,
+          account: attempt.account,
           service: attempt.service,
           route: attempt.route,
           isRepeatable: attempt.isRepeatable,
--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -232,6 +232,7 @@
       attempt = target.run(
         {
           callId: metadata.callId,
+          account: metadata.account,
           service: metadata.service,
           route: metadata.route,
           method: request.method ?? 'GET',
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -2,6 +2,7 @@
 import * as core from '@figshed/core';
 import * as mesh from '@figshed/core/mesh';
 import * as bodyReader from './body-reader.js';
+import * as callerAdmission from './caller-admission.js';
 import * as callRunner from './call-runner.js';
 import * as callerServer from './caller-server.js';
 import * as constants from './constants.js';
@@ -14,6 +15,7 @@
 import * as loadMonitors from './load-monitor.js';
 import * as peerClient from './peer-client.js';
 import * as peerServer from './peer-server.js';
+import * as quotas from './quota.js';
 import * as requestQuarantine from './request-quarantine.js';
 import * as stallMonitors from './stall-monitor.js';
 import * as auxiliaryServers from './auxiliary-servers.js';
@@ -121,6 +123,8 @@
       quarantine.recall(info);
     },
     onVersion: configuration.recordVersion,
+    getProof: configuration.getProof,
+    onProof: configuration.recordProof,
   });
 
   const describeTarget = (): core.TargetInfo | null => {
@@ -173,11 +177,13 @@
     countProcesses: () =>
       Math.max(1, members.list().filter(({ status }) => status === 'alive').length),
   });
+  const quota = quotas.createUnlimitedQuota();
   const callers = callerServer.createCallerServer({
     ctx,
     linkUsage,
     getRoutes: () => routes,
     configuration,
+    admission: callerAdmission.createCallerAdmission({ ctx, configuration, quota }),
     runner,
     isNested: (callId) => target.isRunningParentOf(callId),
     byteBudget,
--- a/packages/proxy/src/mesh/settings.ts
+++ b/packages/proxy/src/mesh/settings.ts
@@ -3,6 +3,8 @@
 const MAX_PORT = 65_535;
 const DEFAULT_GRACE_MS = 6_000;
 const DEFAULT_APPLY_WITHIN_MS = 2_000;
+/** Memory of the smallest host in use. */
+const DEFAULT_MEMORY_MB = 250;
 const DEFAULT_LINK_MBPS = 1_000;
 const DEFAULT_RETRY_RATIO = 0.2;
 const DEFAULT_RETRY_RESERVE = 56;
@@ -49,6 +51,34 @@
    * Time within which a change of the configuration must be in force on all hosts, in milliseconds.
    */
   applyWithinMs: durationMsSchema.default(DEFAULT_APPLY_WITHIN_MS),
+  /**
+   * Time within which a withdrawn API key must stop working on every host, whether or not it is
+   * connected, in milliseconds; undefined if `applyWithinMs` on connected hosts is enough.
+   */
+  revokeWithinMs: durationMsSchema.optional(),
+  /** What may run beyond the limits of the accounts in a sliding window; undefined without quotas. */
+  quota: z
+    .object({
+      windowMs: durationMsSchema,
+      /** Share of the limit that may be exceeded. */
+      overage: z.number().nonnegative(),
+      /** Calls by which the limit may be exceeded besides. */
+      slack: z.number().nonnegative(),
+    })
+    .optional(),
+  /** Bounds on the calls that a new version of a target gets before it is trusted. */
+  rollout: z
+    .object({
+      /** Share of the calls of its service. */
+      maxShare: z.number().positive().max(1),
+      /** Calls that it may get besides. */
+      slack: z.number().nonnegative(),
+      /** Time from the 50th bad response until it must get no calls any more, in milliseconds. */
+      rollBackWithinMs: durationMsSchema,
+    })
+    .optional(),
+  /** Memory of the host that the process may use, in megabytes. */
+  memoryMb: z.number().positive().default(DEFAULT_MEMORY_MB),
   /** Retry budget of all processes together, per service and window. */
   retries: z
     .object({
--- a/packages/proxy/src/mesh/types.ts
+++ b/packages/proxy/src/mesh/types.ts
@@ -79,6 +79,11 @@
   notExecutedHeader: string;
   /** Carries the service of the host where the call began. */
   callerServiceHeader: string;
+  /** Carries the name of the caller's account to the target. */
+  accountHeader: string;
+  /** Carries `keyScheme`, a space and the caller's API key. */
+  keyHeader: string;
+  keyScheme: string;
   readyPath: string;
   readTargetNotice(headers: NodeJS.Dict<string | string[]>): TargetNotice;
 }
@@ -94,6 +99,8 @@
 /** One attempt of a call, as passed to the target's proxy. */
 export interface Attempt {
   callId: string;
+  /** Name of the client account; undefined for a call without one. */
+  account?: string | undefined;
   service: string;
   /** Name of the route; calls of one route have similar service times. */
   route: string;
--- a/packages/proxy/test/mesh-call-guard.test.ts
+++ b/packages/proxy/test/mesh-call-guard.test.ts
@@ -196,6 +196,7 @@
         },
         expireOpenCalls: () => undefined,
       },
+      admission: { admit: () => ({ type: 'admitted', account: undefined }) },
       isNested: () => false,
       byteBudget: bodyReader.createByteBudget(1_000),
     });
--- a/packages/proxy/test/mesh-caller-stop.test.ts
+++ b/packages/proxy/test/mesh-caller-stop.test.ts
@@ -155,6 +155,7 @@
       },
       expireOpenCalls: () => undefined,
     },
+    admission: { admit: () => ({ type: 'admitted', account: undefined }) },
     isNested: () => false,
     byteBudget: bodyReader.createByteBudget(LARGE_BYTES),
   });
--- a/packages/proxy/test/mesh-configuration-task.test.ts
+++ b/packages/proxy/test/mesh-configuration-task.test.ts
@@ -54,6 +54,7 @@
     getMembers: () => ({
       list: () => [...members],
       sendVersion: (ids) => receivers.push([...ids].sort()),
+      requestProof: ignore,
     }),
     fetchFromPeer: () => Promise.resolve({ config: CONFIG, form: 'whole', bytes: 1 }),
     getVersion: () => version,
--- a/packages/proxy/test/mesh-configuration-transfer.test.ts
+++ b/packages/proxy/test/mesh-configuration-transfer.test.ts
@@ -89,6 +89,9 @@
     instanceIdHeader: 'x-instance',
     notExecutedHeader: 'x-not-executed',
     callerServiceHeader: 'x-caller-service',
+    accountHeader: 'x-account',
+    keyHeader: 'authorization',
+    keyScheme: 'Token',
     readyPath: '/ready',
     readTargetNotice: () => ({ callsPerSecond: undefined, isLeaving: false }),
   };
--- a/packages/proxy/test/mesh-early-responses.test.ts
+++ b/packages/proxy/test/mesh-early-responses.test.ts
@@ -195,6 +195,7 @@
       },
       expireOpenCalls: () => undefined,
     },
+    admission: { admit: () => ({ type: 'admitted', account: undefined }) },
     isNested: () => false,
     byteBudget: bodyReader.createByteBudget(BODY_BYTES),
   });
--- a/packages/proxy/test/mesh-gossip-members.test.ts
+++ b/packages/proxy/test/mesh-gossip-members.test.ts
@@ -113,6 +113,8 @@
     onChange: () => undefined,
     onRecalled: () => undefined,
     onVersion,
+    getProof: () => undefined,
+    onProof: () => undefined,
   });
   await members.start();
   try {
--- a/packages/stand-ins/src/mesh/mesh-caller.ts
+++ b/packages/stand-ins/src/mesh/mesh-caller.ts
@@ -8,6 +8,8 @@
   host?: string;
   method?: string;
   body?: string;
+  /** API key of the caller's account; none by default. */
+  apiKey?: string;
   deadlineMs?: number;
   agent?: http.Agent;
   signal?: AbortSignal;
@@ -61,6 +63,7 @@
           host: options.host ?? 'shop.example',
           'figshed-request-id': options.callId,
           'figshed-deadline-ms': String(deadlineMs),
+          ...(options.apiKey === undefined ? {} : { authorization: `Token ${options.apiKey}` }),
           ...(options.body === undefined
             ? {}
             : { 'content-length': Buffer.byteLength(options.body) }),
--- a/packages/stand-ins/src/mesh/mesh-config.ts
+++ b/packages/stand-ins/src/mesh/mesh-config.ts
@@ -13,6 +13,10 @@
   targetLatencyMs?: number;
   maxAttempts?: number;
   maxBodyBytes?: number;
+  /** Client accounts, as the operator writes them; without them, calls need no keys. */
+  tenants?: readonly object[];
+  /** Whether the repeatable routes need no key. */
+  isReadPublic?: boolean;
 }
 
 /**
@@ -30,7 +34,13 @@
     targetLatencyMs: options.targetLatencyMs ?? 600,
     maxAttempts: options.maxAttempts ?? 2,
   };
-  const readRoute = { ...baseRoute, kind: 'safe', priority: 2, service: readService };
+  const readRoute = {
+    ...baseRoute,
+    kind: 'safe',
+    priority: 2,
+    service: readService,
+    public: options.isReadPublic ?? false,
+  };
   return {
     version: options.version,
     routes: [
@@ -62,5 +72,6 @@
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 15_000,
     },
+    ...(options.tenants ? { tenants: options.tenants } : {}),
   };
 }
--- a/packages/stand-ins/src/mesh/mesh-target.ts
+++ b/packages/stand-ins/src/mesh/mesh-target.ts
@@ -15,6 +15,10 @@
   method: string;
   path: string;
   callerService: string;
+  /** Name of the caller's client account, as the proxy stated it; empty if it stated none. */
+  account: string;
+  /** True if the request carried an API key, which a target must not see. */
+  hasApiKey: boolean;
   body: string;
   startedAt: number;
   /**
@@ -265,6 +269,8 @@
       method: request.method ?? '',
       path: request.url ?? '',
       callerService: String(request.headers['figshed-caller-service']),
+      account: String(request.headers['figshed-tenant-id'] ?? ''),
+      hasApiKey: request.headers.authorization !== undefined,
       body: '',
       startedAt: Date.now(),
       isCancelled: false,
