--- a/packages/core/src/mesh/version-proof.ts
+++ b/packages/core/src/mesh/version-proof.ts
@@ -42,7 +42,7 @@
 ): VersionProof {
   const getClockOffset = (): number => now() - monotonic();
   let clockOffset = getClockOffset();
-  /** Questions that were asked before this time prove nothing. */
+  /** Questions that were asked until then prove nothing. */
   let validSince = Number.NEGATIVE_INFINITY;
   let provenAt = Number.NEGATIVE_INFINITY;
 
@@ -57,7 +57,7 @@
   return {
     record(proof) {
       checkClocks();
-      if (proof.askedAt < validSince) return;
+      if (proof.askedAt <= validSince) return;
       provenAt = Math.max(provenAt, proof.provenAt);
       // Slow drift must not add up over many proofs.
       clockOffset = getClockOffset();
