Mesh: place calls by expected work and remaining work

Change: each process learns the work of calls by route, path, account, body size and calling service, relative to the mean of their service (work-estimates.ts). The egress reports its remaining work and its time for one unit of work; responses carry the time at the target. The ingress compares expected completion; reports age towards the usual load. The slot queue scales the mean of a kind by what finer features add. Targets that report no work are placed by counts as before.

--- a/packages/core/src/mesh/index.ts
+++ b/packages/core/src/mesh/index.ts
@@ -63,12 +63,15 @@
 export {
   choosePlacement,
   computeExpectedCompletionMs,
+  computeUsualLoad,
   hasFreeSlot,
   placementDefaults,
   type Placement,
+  type PlacementCall,
   type PlacementCandidate,
   type PlacementOptions,
   type Locality,
+  type UsualLoad,
 } from './placement.js';
 export {
   createRejectedCalls,
@@ -77,6 +80,12 @@
   type RejectedCalls,
   type RejectedCallsOptions,
 } from './rejected-calls.js';
+export {
+  createRemainingTimes,
+  remainingTimeDefaults,
+  type RemainingTimeOptions,
+  type RemainingTimes,
+} from './remaining-time.js';
 export { rankReaders, type ReaderCandidate } from './reader-ranking.js';
 export { compileRoutes, type RouteTable } from './routes.js';
 export {
@@ -113,6 +122,12 @@
   type TargetAnnouncement,
   type TargetGate,
 } from './target-gate.js';
+export {
+  createTargetPace,
+  targetPaceDefaults,
+  type TargetPace,
+  type TargetPaceOptions,
+} from './target-pace.js';
 export {
   decideUnknownRoute,
   unknownRouteDefaults,
@@ -126,6 +141,15 @@
   type VersionProof,
   type VersionProofOptions,
 } from './version-proof.js';
+export {
+  computeWorkKeys,
+  createWorkEstimates,
+  workEstimateDefaults,
+  type WorkEstimateOptions,
+  type WorkEstimates,
+  type WorkFeatures,
+  type WorkKeys,
+} from './work-estimates.js';
 export type {
   CallerLimits,
   ClientAccount,
--- a/packages/core/src/mesh/slot-queue.ts
+++ b/packages/core/src/mesh/slot-queue.ts
@@ -9,14 +9,20 @@
  * calls gets them at the rate that it names, which counts as a queueing delay.
  */
 import * as lateShares from './late-share.js';
+import * as remainingTime from './remaining-time.js';
 import * as serviceTimeEstimates from './service-time-estimates.js';
 import * as startRates from './start-rate.js';
+import * as targetPace from './target-pace.js';
 import type * as types from './types.js';
 
 export interface SlotRequest {
   id: string;
   /** Name of the route; service times are estimated per kind. */
   kind: string;
+  /** Expected work, relative to the mean of the service; defaults to 1. */
+  work?: number;
+  /** Expected work, relative to the mean of its kind; defaults to 1. */
+  workWithinKind?: number;
   /** Priority; lower is more urgent. Nested calls, made by running calls, have negative ranks. */
   rank: number;
   /**
@@ -55,7 +61,15 @@
 
 export type SlotLoad = Pick<
   types.TargetLoad,
-  'running' | 'waiting' | 'late' | 'slots' | 'serviceMs' | 'startDelayMs'
+  | 'running'
+  | 'waiting'
+  | 'late'
+  | 'slots'
+  | 'serviceMs'
+  | 'startDelayMs'
+  | 'remainingMs'
+  | 'lateRemainingMs'
+  | 'unitMs'
 >;
 
 /** Concurrency limit and admission queue of one target. */
@@ -87,6 +101,8 @@
    */
   poll(now: number): SlotEffect[];
   hasWaiting(): boolean;
+  /** Returns the time that the target takes for one unit of work, in milliseconds. */
+  getUnitMs(): number;
   /** Returns when the last service time was recorded; undefined before the first. */
   getSampledAt(): number | undefined;
   /** Returns the current load; a queued call counts as late when it will miss its objective. */
@@ -101,6 +117,8 @@
 
 interface RunningRequest extends QueuedRequest {
   startedAt: number;
+  /** Expected service time when it started, in milliseconds. */
+  expectedMs: number;
 }
 
 /**
@@ -112,17 +130,31 @@
 export function createSlotQueue(initialSlots: number, options: SlotQueueOptions): SlotQueue {
   let slots = initialSlots;
   const serviceTimes = serviceTimeEstimates.createServiceTimes(options.serviceTimes);
+  const remainingTimes = remainingTime.createRemainingTimes(remainingTime.remainingTimeDefaults);
+  const pace = targetPace.createTargetPace(targetPace.targetPaceDefaults);
   const startRate = startRates.createStartRate(startRates.startRateDefaults);
   const lateShare = lateShares.createLateShare(options.lateShare);
   const running = new Map<string, RunningRequest>();
   let waiting: QueuedRequest[] = [];
 
-  const estimateMs = ({ kind, priorMs }: QueuedRequest, now: number): number =>
+  const estimateKindMs = ({ kind, priorMs }: QueuedRequest, now: number): number =>
     serviceTimes.estimateMs(kind, priorMs, now);
 
+  const estimateMs = (request: QueuedRequest, now: number): number =>
+    estimateKindMs(request, now) * (request.workWithinKind ?? 1);
+
   const isDeadlineMissed = (request: QueuedRequest, startAt: number, now: number): boolean =>
     startAt + estimateMs(request, now) > request.deadlineAt;
 
+  /**
+   * With a free slot, only the mean of its kind can refuse a call: an estimate of its work that is too
+   * high is corrected by the calls that run.
+   */
+  const isExpectedTooLate = (request: QueuedRequest, waitMs: number, now: number): boolean =>
+    waitMs > 0
+      ? isDeadlineMissed(request, now + waitMs, now)
+      : now + estimateKindMs(request, now) > request.deadlineAt;
+
   const isObjectiveMissed = (request: QueuedRequest, startAt: number, now: number): boolean =>
     startAt + estimateMs(request, now) + serviceTimes.getMarginMs(request.kind) >
     request.objectiveAt;
@@ -188,7 +220,7 @@
     const kept: QueuedRequest[] = [];
     const expired = ordered.filter((request) => {
       const waitMs = running.size < slots ? 0 : estimateWaitMs(kept, isLate(request, now), now);
-      const isExpired = isDeadlineMissed(request, now + waitMs, now);
+      const isExpired = isExpectedTooLate(request, waitMs, now);
       if (!isExpired) kept.push(request);
       return isExpired;
     });
@@ -206,7 +238,7 @@
       if (waiting.some((request) => isLate(request, now)))
         lateShare.recordStart(isLate(next, now), now);
       waiting = waiting.filter((request) => request !== next);
-      running.set(next.id, { ...next, startedAt: now });
+      running.set(next.id, { ...next, startedAt: now, expectedMs: estimateMs(next, now) });
       effects.push({ type: 'run', id: next.id, waitedMs: now - next.enqueuedAt });
     }
     return effects;
@@ -216,7 +248,11 @@
     const call = running.get(id);
     if (!call) return [];
     running.delete(id);
-    if (sampleMs !== undefined) serviceTimes.addSample(call.kind, sampleMs, now);
+    if (sampleMs !== undefined) {
+      serviceTimes.addSample(call.kind, sampleMs, now);
+      pace.addSample(sampleMs, call.work ?? 1);
+      remainingTimes.addSample(call.expectedMs, sampleMs);
+    }
     return startNext(now);
   };
 
@@ -226,7 +262,7 @@
       const queued = { ...request, enqueuedAt: now, priorMs };
       const ahead = waiting.filter((other) => compareUrgency(other, queued, now) <= 0);
       const waitMs = estimateWaitMs(ahead, request.mayBeLate, now);
-      if (isDeadlineMissed(queued, now + waitMs, now)) return [refuse(request, 'too-late', now)];
+      if (isExpectedTooLate(queued, waitMs, now)) return [refuse(request, 'too-late', now)];
       const mayWaitLessElsewhere = waitMs > 0 || (request.deliveryWaitMs ?? 0) > 0;
       if (
         !request.mayBeLate &&
@@ -273,9 +309,22 @@
     },
     poll: startNext,
     hasWaiting: () => waiting.length > 0,
+    getUnitMs: pace.getUnitMs,
     getSampledAt: serviceTimes.getSampledAt,
     getLoad(now) {
-      const late = waiting.filter((request) => isLate(request, now)).length;
+      let late = 0;
+      let lateRemainingMs = 0;
+      let remainingMs = 0;
+      waiting.forEach((request) => {
+        const requestMs = estimateMs(request, now);
+        if (isLate(request, now)) {
+          late += 1;
+          lateRemainingMs += requestMs;
+        } else remainingMs += requestMs;
+      });
+      running.forEach(({ expectedMs, startedAt }) => {
+        remainingMs += remainingTimes.estimateMs(expectedMs, now - startedAt);
+      });
       return {
         running: running.size,
         waiting: waiting.length - late,
@@ -283,6 +332,9 @@
         slots,
         serviceMs: serviceTimes.getMeanMs(),
         startDelayMs: startRate.computeDelayMs(waiting.length + 1, now),
+        remainingMs: Math.round(remainingMs),
+        lateRemainingMs: Math.round(lateRemainingMs),
+        unitMs: pace.getUnitMs(),
       };
     },
   };
--- a/packages/core/src/mesh/types.ts
+++ b/packages/core/src/mesh/types.ts
@@ -92,4 +92,13 @@
   backlogMs: number;
   /** Transmission time of one kilobyte on that link, in milliseconds. */
   kilobyteMs: number;
+  /** Expected remaining time of the running and `waiting` calls, in milliseconds of slots. */
+  remainingMs: number;
+  /** The same for the `late` calls. */
+  lateRemainingMs: number;
+  /**
+   * Time that the target takes for the mean work of a call of its service, in milliseconds: the inverse
+   * of its speed. 0 from processes of older versions, which do not report this and the two above.
+   */
+  unitMs: number;
 }
--- a/packages/core/test/mesh-placement.test.ts
+++ b/packages/core/test/mesh-placement.test.ts
@@ -35,6 +35,9 @@
   failureShare: 0,
   backlogMs: 0,
   kilobyteMs: 0,
+  remainingMs: 0,
+  lateRemainingMs: 0,
+  unitMs: 0,
   ...overrides,
 });
 
@@ -46,8 +49,10 @@
   locality: 'data-centre',
   slots: 10,
   openCalls: 0,
+  sentWork: 0,
   load: createLoad({}),
   loadAgeMs: 0,
+  queueAgeMs: 0,
   isCold: false,
   ...overrides,
 });
@@ -72,7 +77,7 @@
     const choice = mesh.choosePlacement(
       candidates,
       new Set(),
-      { kilobytes, mayBeLate: false },
+      { kilobytes, work: 1, mayBeLate: false },
       mesh.placementDefaults,
       random,
     );
@@ -197,7 +202,7 @@
     const choice = mesh.choosePlacement(
       [createCandidate('a'), createCandidate('b')],
       new Set(['a']),
-      { kilobytes: 0, mayBeLate: false },
+      { kilobytes: 0, work: 1, mayBeLate: false },
       mesh.placementDefaults,
       createSequence(),
     );
@@ -218,7 +223,7 @@
             : candidate,
         ),
         new Set(),
-        { kilobytes: 0, mayBeLate },
+        { kilobytes: 0, work: 1, mayBeLate },
         mesh.placementDefaults,
         createSequence(),
       )?.hostId;
@@ -257,7 +262,7 @@
       createCandidate('limited', { load: limited }),
       createCandidate('free', { load: createLoad({ serviceMs: 100, running: 5 }) }),
     ];
-    const call = { kilobytes: 0, mayBeLate: false };
+    const call = { kilobytes: 0, work: 1, mayBeLate: false };
     const choose = (tried: ReadonlySet<string>): string | undefined =>
       mesh.choosePlacement(candidates, tried, call, mesh.placementDefaults, () => 0.5)?.hostId;
     assert.equal(choose(new Set()), 'free');
--- a/packages/core/test/overload-simulation.ts
+++ b/packages/core/test/overload-simulation.ts
@@ -2,6 +2,19 @@
 import * as mesh from '../src/mesh/index.js';
 import * as support from './support.js';
 
+/** Calls that differ in work; one whose `path` is that of another cannot be told apart from it. */
+export interface SimulatedKind {
+  name: string;
+  path: string;
+  /** Share of the arrivals; may change with the time. */
+  share: (at: number) => number;
+  /** Work relative to `meanServiceMs`. */
+  work: number;
+  /** Size of request and response. */
+  kilobytes: number;
+  account?: string;
+}
+
 export interface SimulatedLoad {
   /** Calls that arrive in each quarter of a second. */
   arrivals: readonly number[];
@@ -13,6 +26,26 @@
   objectiveMs: number;
   deadlineMs: number;
   seed: number;
+  /** Defaults to one kind of call. */
+  kinds?: readonly SimulatedKind[];
+  /** Defaults to 1. */
+  targetsPerDataCentre?: number;
+  /** Multiple of the service times of a target; defaults to 1. */
+  slowdown?: (target: number, at: number) => number;
+  /** Longest delay of a load report after its response; defaults to 0. */
+  reportDelayMs?: number;
+  /** Transmission time of a kilobyte on the link of a target; defaults to 0. */
+  kilobyteMs?: (target: number) => number;
+  /** False to place calls by counts, as processes do whose targets do not report work. */
+  placesByWork?: boolean;
+  choosePlacement?: typeof mesh.choosePlacement;
+}
+
+export interface KindResult {
+  arrived: number;
+  inObjective: number;
+  /** Response times, that of a call without a response being its deadline. */
+  latenciesMs: number[];
 }
 
 export interface SimulationResult {
@@ -30,6 +63,9 @@
   heldUntried: number;
   /** Attempts that hosts refused, per call. */
   refusalsPerCall: number;
+  byKind: Map<string, KindResult>;
+  /** Kilobytes of calls sent to targets in other regions. */
+  remoteKilobytes: number;
 }
 
 const ARRIVAL_PERIOD_MS = 250;
@@ -46,12 +82,24 @@
 
 type Callback = () => void;
 
+interface SimulatedHandler {
+  kind: SimulatedKind;
+  workKeys: mesh.WorkKeys;
+  receive(event: 'started' | mesh.CallEvent): void;
+}
+
+const defaultKinds: readonly SimulatedKind[] = [
+  { name: 'read', path: '/read', share: () => 1, work: 1, kilobytes: 1.5 },
+];
+
 interface SimulatedTarget {
   hostId: string;
   dataCentre: number;
   queue: mesh.SlotQueue;
+  index: number;
   speed: number;
-  handlers: Map<string, (event: 'started' | mesh.CallEvent) => void>;
+  handlers: Map<string, SimulatedHandler>;
+  workEstimates: mesh.WorkEstimates;
 }
 
 /**
@@ -62,6 +110,9 @@
  */
 export function simulateLoad(load: SimulatedLoad): SimulationResult {
   const random = support.createSeededRandom(load.seed);
+  const { kinds = defaultKinds, targetsPerDataCentre = 1, placesByWork = true } = load;
+  const { slowdown = () => 1, reportDelayMs = 0, kilobyteMs = () => 0 } = load;
+  const choosePlacement = load.choosePlacement ?? mesh.choosePlacement;
   const events: { at: number; sequence: number; run: Callback }[] = [];
   let now = 0;
   let sequence = 0;
@@ -85,6 +136,10 @@
     expiredUntried: 0,
     heldUntried: 0,
     refusalsPerCall: 0,
+    byKind: new Map(
+      kinds.map(({ name }) => [name, { arrived: 0, inObjective: 0, latenciesMs: [] }]),
+    ),
+    remoteKilobytes: 0,
   };
 
   const drawServiceMs = (speed: number): number => {
@@ -94,28 +149,44 @@
     );
   };
 
-  const targets = load.dataCentres.map((_, index): SimulatedTarget => ({
-    hostId: `t${index}`,
-    dataCentre: index,
-    queue: mesh.createSlotQueue(load.slots, mesh.slotQueueDefaults),
-    speed: load.speeds[index % load.speeds.length] ?? 1,
-    handlers: new Map(),
-  }));
+  const targets = Array.from(
+    { length: load.dataCentres.length * targetsPerDataCentre },
+    (_, index): SimulatedTarget => ({
+      hostId: `t${index}`,
+      dataCentre: index % load.dataCentres.length,
+      queue: mesh.createSlotQueue(load.slots, mesh.slotQueueDefaults),
+      index,
+      speed: load.speeds[index % load.speeds.length] ?? 1,
+      handlers: new Map(),
+      workEstimates: mesh.createWorkEstimates(mesh.workEstimateDefaults),
+    }),
+  );
 
   const applyEffects = (target: SimulatedTarget, effects: readonly mesh.SlotEffect[]): void =>
     effects.forEach((effect) => {
       const handler = target.handlers.get(effect.id);
       if (effect.type === 'refuse') {
         target.handlers.delete(effect.id);
-        handler?.({ type: 'refused', reason: effect.reason, retryAfterMs: effect.retryAfterMs });
+        handler?.receive({
+          type: 'refused',
+          reason: effect.reason,
+          retryAfterMs: effect.retryAfterMs,
+        });
         return;
       }
-      handler?.('started');
-      const serviceMs = drawServiceMs(target.speed);
+      handler?.receive('started');
+      const serviceMs =
+        drawServiceMs(target.speed) * (handler?.kind.work ?? 1) * slowdown(target.index, now);
       schedule(now + serviceMs, () => {
         if (!target.handlers.has(effect.id)) return;
         target.handlers.delete(effect.id);
-        handler?.({ type: 'answered', isFailure: false });
+        if (handler)
+          target.workEstimates.addSample(
+            handler.workKeys,
+            serviceMs / target.queue.getUnitMs(),
+            now,
+          );
+        handler?.receive({ type: 'answered', isFailure: false });
         applyEffects(target, target.queue.release(effect.id, serviceMs, now));
       });
     });
@@ -135,6 +206,8 @@
       dataCentre,
       reports: new Map<string, { load: mesh.TargetLoad; at: number }>(),
       open: new Map<string, number>(),
+      sentWork: new Map<string, number>(),
+      workEstimates: mesh.createWorkEstimates(mesh.workEstimateDefaults),
       rejectedCalls: mesh.createRejectedCalls(mesh.rejectedCallsDefaults),
     })),
   );
@@ -143,11 +216,26 @@
   let refusals = 0;
   let nextId = 0;
 
-  const runCall = (ingress: Ingress, arrivedAt: number, retriesLeft: number): void => {
+  const runCall = (
+    ingress: Ingress,
+    kind: SimulatedKind,
+    arrivedAt: number,
+    retriesLeft: number,
+  ): void => {
+    const kindResult = result.byKind.get(kind.name);
+    const workKeys = mesh.computeWorkKeys({
+      service: 'catalogue',
+      route: 'read',
+      path: kind.path,
+      account: kind.account,
+      bodyBytes: 0,
+      callerService: undefined,
+    });
+    const work = placesByWork ? ingress.workEstimates.estimate(workKeys, now) : 1;
     const receivedAt = now;
     const callerDeadlineAt = arrivedAt + load.deadlineMs;
     const firstReceivedAt =
-      ingress.rejectedCalls.take('read', callerDeadlineAt)?.firstReceivedAt ?? receivedAt;
+      ingress.rejectedCalls.take(kind.path, callerDeadlineAt)?.firstReceivedAt ?? receivedAt;
     const { objectiveAt, deadlineAt, isLate } = mesh.computeCallTimes(
       { receivedAt, firstReceivedAt, callerDeadlineAt },
       { objectiveMs: load.objectiveMs, timeoutMs: load.deadlineMs },
@@ -167,8 +255,11 @@
     });
     const finish = (status: number, retryAfterMs: number): void => {
       if (status === 200) {
-        if (now - arrivedAt <= load.objectiveMs) result.inObjective += 1;
-        else result.late += 1;
+        kindResult?.latenciesMs.push(now - arrivedAt);
+        if (now - arrivedAt <= load.objectiveMs) {
+          result.inObjective += 1;
+          if (kindResult) kindResult.inObjective += 1;
+        } else result.late += 1;
         return;
       }
       if (!hasStarted) {
@@ -178,11 +269,12 @@
         result.heldUntried += Math.min(1, Math.max(0, heldShare));
       }
       if (status === 503 && retriesLeft > 0) {
-        ingress.rejectedCalls.record({ key: 'read', firstReceivedAt, deadlineAt }, now);
+        ingress.rejectedCalls.record({ key: kind.path, firstReceivedAt, deadlineAt }, now);
         const waitMs = Math.min(retryAfterMs, (deadlineAt - now) / 3);
-        schedule(now + waitMs, () => runCall(ingress, arrivedAt, retriesLeft - 1));
+        schedule(now + waitMs, () => runCall(ingress, kind, arrivedAt, retriesLeft - 1));
         return;
       }
+      kindResult?.latenciesMs.push(load.deadlineMs);
       if (status === 503) result.rejected += 1;
       else if (!hasStarted) result.expiredUntried += 1;
     };
@@ -204,15 +296,17 @@
           locality: describeLocality(ingress.dataCentre, target.dataCentre),
           slots: load.slots,
           openCalls: ingress.open.get(target.hostId) ?? 0,
+          sentWork: ingress.sentWork.get(target.hostId) ?? 0,
           load: report?.load,
           loadAgeMs: report ? now - report.at : 0,
+          queueAgeMs: report ? now - report.at : 0,
           isCold: false,
         };
       });
-      const placement = mesh.choosePlacement(
+      const placement = choosePlacement(
         candidates,
         tried,
-        { kilobytes: 1.5, mayBeLate },
+        { kilobytes: kind.kilobytes, work, mayBeLate },
         mesh.placementDefaults,
         random,
       );
@@ -222,11 +316,16 @@
         return;
       }
       tried.add(target.hostId);
-      const delayMs = DELAYS_MS[describeLocality(ingress.dataCentre, target.dataCentre)];
+      const locality = describeLocality(ingress.dataCentre, target.dataCentre);
+      const linkMs = locality === 'own-host' ? 0 : kind.kilobytes * kilobyteMs(target.index);
+      const delayMs = DELAYS_MS[locality];
+      if (locality === 'remote') result.remoteKilobytes += kind.kilobytes;
+      ingress.sentWork.set(target.hostId, (ingress.sentWork.get(target.hostId) ?? 0) + work);
       ingress.open.set(target.hostId, (ingress.open.get(target.hostId) ?? 0) + 1);
       nextId += 1;
       const id = `c${nextId}`;
       let isOpen = true;
+      let startedAt = 0;
       const settle = (): boolean => {
         if (!isOpen) return false;
         isOpen = false;
@@ -242,28 +341,59 @@
       };
       const receive = (event: mesh.CallEvent): void => {
         const slotLoad = target.queue.getLoad(now);
-        schedule(now + delayMs, () => {
+        const reportedAt = now;
+        const ranMs = now - startedAt;
+        schedule(now + delayMs + (event.type === 'answered' ? linkMs : 0), () => {
+          if (event.type === 'answered')
+            ingress.workEstimates.addSample(workKeys, ranMs / slotLoad.unitMs, now);
+          if (settle()) handle(event);
+        });
+        schedule(now + delayMs + random() * reportDelayMs, () => {
+          const last = ingress.reports.get(target.hostId);
+          if (last && last.at > reportedAt) return;
+          ingress.sentWork.set(target.hostId, 0);
           ingress.reports.set(target.hostId, {
-            load: { ...slotLoad, failureShare: 0, backlogMs: 0, kilobyteMs: 0 },
-            at: now,
+            load: {
+              ...slotLoad,
+              failureShare: 0,
+              backlogMs: 0,
+              kilobyteMs: kilobyteMs(target.index),
+              unitMs: placesByWork ? slotLoad.unitMs : 0,
+            },
+            at: reportedAt,
           });
-          if (settle()) handle(event);
         });
       };
       schedule(now + delayMs, () => {
         if (!isOpen) return;
-        target.handlers.set(id, (event) => {
-          if (event === 'started') {
-            hasStarted = true;
-            return;
-          }
-          if (event.type === 'refused') {
-            refusals += 1;
-            if (event.reason === 'full') full.add(target.hostId);
-          }
-          receive(event);
+        target.handlers.set(id, {
+          kind,
+          workKeys,
+          receive(event) {
+            if (event === 'started') {
+              hasStarted = true;
+              startedAt = now;
+              return;
+            }
+            if (event.type === 'refused') {
+              refusals += 1;
+              if (event.reason === 'full') full.add(target.hostId);
+            }
+            receive(event);
+          },
         });
-        const request = { id, kind: 'read', rank: 2, mayBeLate, objectiveAt, deadlineAt };
+        const request: mesh.SlotRequest = {
+          id,
+          kind: 'read',
+          rank: 2,
+          mayBeLate,
+          objectiveAt,
+          deadlineAt,
+        };
+        if (placesByWork) {
+          request.work = target.workEstimates.estimate(workKeys, now);
+          request.workWithinKind = target.workEstimates.estimateWithinRoute(workKeys, now);
+        }
         applyEffects(target, target.queue.offer(request, now));
       });
     };
@@ -284,12 +414,23 @@
     const index = dataCentre * HOSTS_PER_DATA_CENTRE + Math.floor(random() * HOSTS_PER_DATA_CENTRE);
     return ingresses[index];
   };
+  const chooseKind = (at: number): SimulatedKind => {
+    let remaining = random() * kinds.reduce((sum, { share }) => sum + share(at), 0);
+    const chosen = kinds.find(({ share }) => {
+      remaining -= share(at);
+      return remaining < 0;
+    });
+    return chosen ?? (kinds[0] as SimulatedKind);
+  };
   load.arrivals.forEach((count, period) => {
     for (let index = 0; index < count; index += 1) {
       const at = (period + random()) * ARRIVAL_PERIOD_MS;
       schedule(at, () => {
         const ingress = chooseIngress();
-        if (ingress) runCall(ingress, at, 1);
+        const kind = chooseKind(at);
+        const kindResult = result.byKind.get(kind.name);
+        if (kindResult) kindResult.arrived += 1;
+        if (ingress) runCall(ingress, kind, at, 1);
       });
       result.arrived += 1;
     }
--- a/packages/proxy/src/mesh/call-log.ts
+++ b/packages/proxy/src/mesh/call-log.ts
@@ -15,6 +15,11 @@
   tried: number;
   /** Retries and hedged requests that the retry budget did not allow. */
   deniedRetries: number;
+  /** Expected work of the call, relative to the mean of its service. */
+  work: number;
+  /** Expected time at the last target, and the time that it took if it responded. */
+  expectedMs: number | undefined;
+  ranMs: number | undefined;
 }
 
 export interface CallLog {
@@ -27,6 +32,9 @@
 
 const HTTP_FIRST_SERVER_ERROR = 500;
 
+const roundIfKnown = (value: number | undefined): number | undefined =>
+  value === undefined ? undefined : Math.round(value);
+
 /**
  * Creates the log. Successful calls above `log.callsPerSecond` are not logged; the next line states
  * their number as `omitted`. Failures are always logged.
@@ -45,7 +53,7 @@
         host: hostId,
         result,
         cause,
-        tookMs: tookMs === undefined ? undefined : Math.round(tookMs),
+        tookMs: roundIfKnown(tookMs),
       });
     },
     logCall(call, summary) {
@@ -66,6 +74,9 @@
         attempts: summary.attempts,
         tried: summary.tried,
         deniedRetries: summary.deniedRetries || undefined,
+        work: Number(summary.work.toFixed(2)),
+        expectedMs: roundIfKnown(summary.expectedMs),
+        ranMs: roundIfKnown(summary.ranMs),
         omitted: limit.takeOmitted(),
       });
     },
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -30,6 +30,7 @@
   target: localTarget.LocalTarget;
   peers: peerClient.PeerClient;
   quarantine: requestQuarantine.RequestQuarantine;
+  workEstimates: mesh.WorkEstimates;
   byteBudget: bodyReader.ByteBudget;
   /** Returns the number of processes that share the retry budget. */
   countProcesses: () => number;
@@ -42,6 +43,11 @@
  */
 const RESPONSE_MARGIN_MS = 10;
 
+/** Returns the stated length of a streamed response, or the least that is streamed without one. */
+function measureStreamedBytes({ message }: upstreamResponse.UpstreamResponse): number {
+  return Number(message.headers['content-length'] ?? constants.MAX_BUFFERED_RESPONSE_BYTES);
+}
+
 type EffectHandler<K extends mesh.CallEffect['type']> = (
   effect: Extract<mesh.CallEffect, { type: K }>,
 ) => void;
@@ -53,7 +59,8 @@
  * const handleDisconnect = createCallRunner(input).run(call, responder);
  */
 export function createCallRunner(input: CallRunnerInput): CallRunner {
-  const { ctx, targets, target, peers, quarantine, byteBudget, countProcesses } = input;
+  const { ctx, targets, target, peers, quarantine, workEstimates } = input;
+  const { byteBudget, countProcesses } = input;
   const { settings, clock, metrics } = ctx;
   const splitter = mesh.createTrafficSplitter(ctx.random);
   const retryBudgets = serviceRetryBudgets.createServiceRetryBudgets(settings, countProcesses);
@@ -78,6 +85,18 @@
       { receivedAt: call.receivedAt, firstReceivedAt, callerDeadlineAt: call.deadlineAt },
       route,
     );
+    const bodyBytes = requestBodies.measureBody(call.body);
+    const workKeys = mesh.computeWorkKeys({
+      service,
+      route: route.name,
+      path: call.path,
+      account: call.account?.name,
+      bodyBytes,
+      callerService: call.isNested ? settings.service : undefined,
+    });
+    const work = workEstimates.estimate(workKeys, call.receivedAt);
+    let expectedMs: number | undefined;
+    let ranMs: number | undefined;
     let wasLateAllowed = false;
     /** True once a streamed body has been handed to an attempt; it cannot be sent again. */
     let isBodyConsumed = false;
@@ -127,6 +146,9 @@
         attempts: stateMachine.countAttemptsRun(),
         tried: triedHosts.size,
         deniedRetries,
+        work,
+        expectedMs,
+        ranMs,
       });
     };
 
@@ -143,7 +165,17 @@
       upstream: upstreamResponse.UpstreamResponse,
       attemptNumber: number,
       hostId: string,
+      unitMs: number,
     ): void => {
+      ranMs = upstream.ranMs;
+      // The egress of this process has recorded the calls at its own target.
+      if (
+        ranMs !== undefined &&
+        unitMs > 0 &&
+        hostId !== settings.id &&
+        upstream.status < constants.HTTP.firstError
+      )
+        workEstimates.addSample(workKeys, ranMs / unitMs, clock.monotonic());
       if (upstream.leavingTarget !== undefined)
         targets.recordLeaving(hostId, upstream.leavingTarget);
       const discard = (): void => {
@@ -159,6 +191,7 @@
           streamedAttempt = attemptNumber;
           bufferedResponse = undefined;
           lastHostId = hostId;
+          responseSizes.addSample(route.name, measureStreamedBytes(upstream));
           handleEvent({ type: 'streaming' });
           clearTimers();
           responder.stream(upstream, chunks);
@@ -194,49 +227,56 @@
       hostId: string,
       attemptNumber: number,
       openedAt: number,
-    ): peerClient.PeerAttemptHandler => ({
-      async provideBody() {
-        await eventLoop.waitForSocketPoll();
-        // eslint-disable-next-line @typescript-eslint/no-use-before-define -- a disconnect cancels attempts
-        if (!responder.isConnected()) handleDisconnect();
-        if (!attempts.has(attemptNumber) || isBodyConsumed) return undefined;
-        isBodyConsumed = !Buffer.isBuffer(call.body);
-        return call.body;
-      },
-      onHostResponded: () => targets.recordResponse(hostId),
-      onUnacknowledged() {
-        if (attempts.has(attemptNumber)) handleEvent({ type: 'unacknowledged' });
-      },
-      onLoad: (load) => targets.recordLoad(hostId, load),
-      onResponse(upstream) {
-        if (attempts.has(attemptNumber)) receiveResponse(upstream, attemptNumber, hostId);
-        else upstream.message.destroy();
-      },
-      onRefused(reason, retryAfterMs) {
-        if (reason === 'unreachable') targets.recordUnreachable(hostId, openedAt);
-        if (reason === 'full') fullHosts.add(hostId);
-        if (!attempts.settle(attemptNumber)) return;
-        logger.logAttempt(call, {
-          hostId,
-          result: 'refused',
-          cause: reason,
-          tookMs: clock.monotonic() - openedAt,
-        });
-        handleEvent({ type: 'refused', reason, retryAfterMs });
-      },
-      onBroken(cause, crashedTarget) {
-        if (crashedTarget !== undefined)
-          quarantine.recordCrash(crashedTarget, { ...call, service });
-        if (!attempts.settle(attemptNumber)) return;
-        logger.logAttempt(call, {
-          hostId,
-          result: 'broken',
-          cause: crashedTarget === undefined ? cause : 'target-crashed',
-          tookMs: clock.monotonic() - openedAt,
-        });
-        handleEvent({ type: 'broken' });
-      },
-    });
+    ): peerClient.PeerAttemptHandler => {
+      /** Pace of the target, which precedes its response. */
+      let unitMs = 0;
+      return {
+        async provideBody() {
+          await eventLoop.waitForSocketPoll();
+          // eslint-disable-next-line @typescript-eslint/no-use-before-define -- a disconnect cancels attempts
+          if (!responder.isConnected()) handleDisconnect();
+          if (!attempts.has(attemptNumber) || isBodyConsumed) return undefined;
+          isBodyConsumed = !Buffer.isBuffer(call.body);
+          return call.body;
+        },
+        onHostResponded: () => targets.recordResponse(hostId),
+        onUnacknowledged() {
+          if (attempts.has(attemptNumber)) handleEvent({ type: 'unacknowledged' });
+        },
+        onLoad(load) {
+          unitMs = load.unitMs;
+          targets.recordLoad(hostId, load);
+        },
+        onResponse(upstream) {
+          if (attempts.has(attemptNumber)) receiveResponse(upstream, attemptNumber, hostId, unitMs);
+          else upstream.message.destroy();
+        },
+        onRefused(reason, retryAfterMs) {
+          if (reason === 'unreachable') targets.recordUnreachable(hostId, openedAt);
+          if (reason === 'full') fullHosts.add(hostId);
+          if (!attempts.settle(attemptNumber)) return;
+          logger.logAttempt(call, {
+            hostId,
+            result: 'refused',
+            cause: reason,
+            tookMs: clock.monotonic() - openedAt,
+          });
+          handleEvent({ type: 'refused', reason, retryAfterMs });
+        },
+        onBroken(cause, crashedTarget) {
+          if (crashedTarget !== undefined)
+            quarantine.recordCrash(crashedTarget, { ...call, service });
+          if (!attempts.settle(attemptNumber)) return;
+          logger.logAttempt(call, {
+            hostId,
+            result: 'broken',
+            cause: crashedTarget === undefined ? cause : 'target-crashed',
+            tookMs: clock.monotonic() - openedAt,
+          });
+          handleEvent({ type: 'broken' });
+        },
+      };
+    };
 
     /**
      * Schedules a hedged request for a repeatable call with one open attempt, after the hedge delay of
@@ -273,9 +313,9 @@
       }
       const placement = targets.chooseTarget(service, triedHosts, {
         kilobytes:
-          (responseSizes.getMeanBytes(route.name) +
-            (requestBodies.measureBody(call.body) ?? constants.MIN_STREAMED_BYTES)) /
+          (responseSizes.getMeanBytes(route.name) + (bodyBytes ?? constants.MIN_STREAMED_BYTES)) /
           mesh.BYTES_PER_KILOBYTE,
+        work,
         mayBeLate,
       });
       const endpoint = placement && targets.getEndpoint(placement.hostId);
@@ -287,7 +327,8 @@
       const targetHostId = placement.hostId;
       lastHostId = targetHostId;
       triedHosts.add(targetHostId);
-      targets.recordAttemptStart(targetHostId);
+      expectedMs = placement.serviceMs;
+      targets.recordAttemptStart(targetHostId, work);
       const openedAt = clock.monotonic();
       const attemptNumber = attempts.open(targetHostId, openedAt);
       const handler = guard.wrapAll(createAttemptHandler(targetHostId, attemptNumber, openedAt));
@@ -300,7 +341,7 @@
         path: call.path,
         headers: call.headers,
         isRepeatable: route.isRepeatable,
-        bodyBytes: requestBodies.measureBody(call.body),
+        bodyBytes,
         isStreamed: !Buffer.isBuffer(call.body),
         mayBeLate,
         isTrial: verdict.isTrial,
--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -10,6 +10,7 @@
 import * as lostAttemptsModule from './lost-attempts.js';
 import * as meshHeaders from './mesh-headers.js';
 import * as requestBodies from './request-body.js';
+import * as requestFingerprint from './request-fingerprint.js';
 import type * as requestQuarantine from './request-quarantine.js';
 import * as responseBytes from './response-bytes.js';
 import * as silenceMonitor from './silence-monitor.js';
@@ -66,6 +67,8 @@
   /** Body that was sent; undefined until then. */
   body: requestBodies.RequestBody | undefined;
   receivedAt: number;
+  /** Identify its expected work. */
+  workKeys: mesh.WorkKeys;
   isCancelled: boolean;
 }
 
@@ -73,6 +76,7 @@
   ctx: context.MeshContext;
   endpoint: core.Endpoint;
   quarantine: requestQuarantine.RequestQuarantine;
+  workEstimates: mesh.WorkEstimates;
   /** Returns the health path of the target's service; undefined while it is not known. */
   getHealthPath: () => string | undefined;
   /** Called when the target becomes available or unavailable, is replaced, or is no longer cold. */
@@ -83,10 +87,10 @@
  * Creates a local target; it refuses attempts until the target announces itself.
  *
  * @example
- * const target = createLocalTarget({ ctx, endpoint, quarantine, getHealthPath, onChange });
+ * const target = createLocalTarget({ ctx, endpoint, quarantine, workEstimates, getHealthPath, onChange });
  */
 export function createLocalTarget(input: LocalTargetInput): LocalTarget {
-  const { ctx, endpoint, quarantine, getHealthPath, onChange } = input;
+  const { ctx, endpoint, quarantine, workEstimates, getHealthPath, onChange } = input;
   const { clock, log, metrics, protocol } = ctx;
   const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults);
   const agent = keepAliveAgent.createAgent(TARGET_IDLE_TIMEOUT_MS);
@@ -208,6 +212,28 @@
     releaseSlot(key);
   };
 
+  /** Describes what an attempt's work depends on, as its ingress does. */
+  const computeWorkKeys = (attempt: types.Attempt): mesh.WorkKeys =>
+    mesh.computeWorkKeys({
+      service: attempt.service,
+      route: attempt.route,
+      path: attempt.path,
+      account: attempt.account,
+      bodyBytes: attempt.bodyBytes,
+      callerService:
+        attempt.rank < 0
+          ? requestFingerprint.getHeader(attempt.headers, protocol.callerServiceHeader)
+          : undefined,
+    });
+
+  const recordWork = ({ workKeys }: LocalAttempt, tookMs: number): void => {
+    const now = clock.monotonic();
+    const unitMs = queue.getUnitMs();
+    const expectedMs = workEstimates.estimate(workKeys, now) * unitMs;
+    metrics.observe('estimate_error_ms', Math.abs(tookMs - expectedMs));
+    workEstimates.addSample(workKeys, tookMs / unitMs, now);
+  };
+
   const classifyOutcome = (
     { attempt, isCancelled }: LocalAttempt,
     status: number,
@@ -268,7 +294,9 @@
       slotUsage.record(entry.attempt.route, classifyOutcome(entry, status, isComplete()), tookMs);
       updateFailureShare(!isComplete() || status >= constants.HTTP.firstServerError);
       metrics.observe('target_ms', tookMs);
-      releaseSlot(key, isComplete() && status < constants.HTTP.firstError ? tookMs : undefined);
+      const isSample = isComplete() && status < constants.HTTP.firstError;
+      if (isSample) recordWork(entry, tookMs);
+      releaseSlot(key, isSample ? tookMs : undefined);
     };
     message.once(
       'close',
@@ -279,6 +307,7 @@
       headers: meshHeaders.copyHeaders(message.rawHeaders, new Set()),
       message,
       leavingTarget: isLeaving ? mesh.formatIncarnation(target) : undefined,
+      ranMs: clock.monotonic() - sentAt,
       isComplete,
     });
   };
@@ -415,6 +444,7 @@
       lastKey += 1;
       const key = `${attempt.callId}|${lastKey}`;
       const now = clock.monotonic();
+      const workKeys = computeWorkKeys(attempt);
       openAttempts.set(key, {
         attempt,
         guard: callGuards.createCallGuard(ctx, attempt.callId, () => abortAttempt(key)),
@@ -423,6 +453,7 @@
         sent: undefined,
         body: undefined,
         receivedAt: now,
+        workKeys,
         isCancelled: false,
       });
       const target = gate.getOpenTarget();
@@ -434,6 +465,8 @@
         const request = {
           id: key,
           kind: route,
+          work: workEstimates.estimate(workKeys, now),
+          workWithinKind: workEstimates.estimateWithinRoute(workKeys, now),
           rank,
           deliveryWaitMs: delivery.waitMs,
           mayBeLate,
--- a/packages/proxy/src/mesh/mesh-headers.ts
+++ b/packages/proxy/src/mesh/mesh-headers.ts
@@ -8,6 +8,7 @@
 const REFUSED_HEADER = `${PROXY_HEADER_PREFIX}refused`;
 const BROKEN_HEADER = `${PROXY_HEADER_PREFIX}broken`;
 const CRASHED_HEADER = `${PROXY_HEADER_PREFIX}crashed`;
+const RAN_HEADER = `${PROXY_HEADER_PREFIX}ran`;
 const LEAVING_HEADER = `${PROXY_HEADER_PREFIX}leaving`;
 
 /** Hop-by-hop headers and content-length: each hop frames the body anew. */
@@ -105,6 +106,9 @@
   ['backlogMs', 0],
   ['kilobyteMs', 3],
   ['startDelayMs', 0],
+  ['remainingMs', 0],
+  ['lateRemainingMs', 0],
+  ['unitMs', 1],
 ];
 /** Processes of older versions send only these; the others count as 0. */
 const REQUIRED_LOAD_FIELDS = 8;
@@ -124,6 +128,17 @@
   ) as unknown as mesh.TargetLoad;
 }
 
+/** Formats the time that the target took until its response as a header; none if it is undefined. */
+export function formatRanMs(ranMs: number | undefined): string[] {
+  return ranMs === undefined ? [] : [RAN_HEADER, ranMs.toFixed(1)];
+}
+
+/** Returns undefined if the header is missing or invalid. */
+export function parseRanMs(headers: NodeJS.Dict<string | string[]>): number | undefined {
+  const ranMs = Number(headers[RAN_HEADER]);
+  return Number.isFinite(ranMs) && ranMs >= 0 ? ranMs : undefined;
+}
+
 export function formatRefusal(reason: mesh.RefusalReason, retryAfterMs: number): string[] {
   return [REFUSED_HEADER, `${reason};${Math.round(retryAfterMs)}`];
 }
--- a/packages/proxy/src/mesh/peer-client.ts
+++ b/packages/proxy/src/mesh/peer-client.ts
@@ -239,6 +239,7 @@
         headers: meshHeaders.copyHeaders(message.rawHeaders, new Set()),
         message,
         leavingTarget: meshHeaders.parseLeavingTarget(message.headers),
+        ranMs: meshHeaders.parseRanMs(message.headers),
         isComplete: upstreamResponse.trackCompletion(request, message),
       };
       if (markEnded()) handler.onResponse(upstream);
--- a/packages/proxy/src/mesh/peer-responder.ts
+++ b/packages/proxy/src/mesh/peer-responder.ts
@@ -60,7 +60,11 @@
     receivedChunks: readonly Buffer[] = [],
   ): void =>
     upstreamResponse.streamResponse(upstream, response, {
-      headers: [...formatLoad(), ...meshHeaders.formatLeavingTarget(upstream.leavingTarget)],
+      headers: [
+        ...formatLoad(),
+        ...meshHeaders.formatRanMs(upstream.ranMs),
+        ...meshHeaders.formatLeavingTarget(upstream.leavingTarget),
+      ],
       receivedChunks,
       onTruncated: () => undefined,
     });
@@ -79,6 +83,7 @@
       response.writeHead(buffered.status, [
         ...buffered.headers,
         ...formatLoad(),
+        ...meshHeaders.formatRanMs(upstream.ranMs),
         ...meshHeaders.formatLeavingTarget(upstream.leavingTarget),
         ...buffered.framing,
       ]);
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -154,9 +154,11 @@
     onChange: () => members.setInfo(quarantine.getRecords()),
   });
 
+  const workEstimates = mesh.createWorkEstimates(mesh.workEstimateDefaults);
   const target = localTarget.createLocalTarget({
     ctx,
     quarantine,
+    workEstimates,
     endpoint: settings.target,
     getHealthPath: () =>
       routes?.config.services.find(({ name }) => name === settings.service)?.healthPath,
@@ -173,6 +175,7 @@
     target,
     peers,
     quarantine,
+    workEstimates,
     byteBudget,
     countProcesses: () =>
       Math.max(1, members.list().filter(({ status }) => status === 'alive').length),
--- a/packages/proxy/src/mesh/request-fingerprint.ts
+++ b/packages/proxy/src/mesh/request-fingerprint.ts
@@ -16,7 +16,13 @@
 const FINGERPRINT_BYTES = 8;
 const SEPARATOR = '\n';
 
-function getHeader(headers: readonly string[], name: string): string {
+/**
+ * Returns the value of a header; empty if it is missing.
+ *
+ * @example
+ * getHeader(['Accept', 'text/plain'], 'accept'); // 'text/plain'
+ */
+export function getHeader(headers: readonly string[], name: string): string {
   const index = headers.findIndex(
     (item, position) => position % 2 === 0 && item.toLowerCase() === name,
   );
--- a/packages/proxy/src/mesh/target-table.ts
+++ b/packages/proxy/src/mesh/target-table.ts
@@ -11,7 +11,7 @@
   chooseTarget(
     service: string,
     triedHosts: ReadonlySet<string>,
-    call: { kilobytes: number; mayBeLate: boolean },
+    call: mesh.PlacementCall,
   ): mesh.Placement | undefined;
   /**
    * Returns whether an untried target has a free slot according to its last load report;
@@ -19,7 +19,8 @@
    */
   hasFreeSlot(service: string, triedHosts: ReadonlySet<string>, mayGuess: boolean): boolean;
   recordLoad(hostId: string, load: mesh.TargetLoad): void;
-  recordAttemptStart(hostId: string): void;
+  /** Records an attempt of which `work` is expected, relative to the mean of its service. */
+  recordAttemptStart(hostId: string, work: number): void;
   recordAttemptEnd(hostId: string): void;
   /**
    * Opens the circuit breaker of a host that did not respond to an attempt, unless it has responded
@@ -38,8 +39,8 @@
 
 interface TargetEntry {
   member: core.Member;
-  openCalls: number;
-  load: mesh.TargetLoad | undefined;
+  /** Updated in place, so that the choice of a target creates no object for each candidate. */
+  candidate: mesh.PlacementCandidate;
   loadReceivedAt: number;
   lastResponseAt: number;
   circuitBreaker: core.CircuitBreaker;
@@ -83,29 +84,24 @@
   const listCallable = (service: string): TargetEntry[] =>
     [...entries.values()].filter((entry) => isCallable(entry, service));
 
-  const getLastLoad = (
-    entry: TargetEntry,
-  ): { load: mesh.TargetLoad | undefined; loadReceivedAt: number } => {
-    if (entry.member.id !== settings.id) return entry;
+  /** Updates what ages in the description of a candidate, and returns it. */
+  const updateCandidate = (
+    { member, candidate, loadReceivedAt }: TargetEntry,
+    now: number,
+  ): mesh.PlacementCandidate => {
+    if (member.id !== settings.id) {
+      candidate.loadAgeMs = now - loadReceivedAt;
+      candidate.queueAgeMs = candidate.loadAgeMs;
+      return candidate;
+    }
     const ownTarget = getOwnTarget();
     const sampledAt = ownTarget.getSampledAt();
-    if (sampledAt === undefined) return { load: undefined, loadReceivedAt: 0 };
-    const load = { ...ownTarget.getLoad(), backlogMs: 0, kilobyteMs: 0 };
-    return { load, loadReceivedAt: sampledAt };
-  };
-
-  const describeCandidate = (entry: TargetEntry, now: number): mesh.PlacementCandidate => {
-    const { id, info } = entry.member;
-    const { load, loadReceivedAt } = getLastLoad(entry);
-    return {
-      hostId: id,
-      locality: computeLocality(entry.member),
-      slots: info.target?.slots ?? 1,
-      openCalls: entry.openCalls,
-      load,
-      loadAgeMs: now - loadReceivedAt,
-      isCold: info.target?.isCold === true,
-    };
+    candidate.load =
+      sampledAt === undefined ? undefined : { ...ownTarget.getLoad(), backlogMs: 0, kilobyteMs: 0 };
+    candidate.loadAgeMs = now - (sampledAt ?? 0);
+    candidate.queueAgeMs = 0;
+    candidate.sentWork = 0;
+    return candidate;
   };
 
   return {
@@ -116,8 +112,17 @@
         isSameProcess && existing.member.info.target?.id === member.info.target?.id;
       entries.set(member.id, {
         member,
-        openCalls: existing?.openCalls ?? 0,
-        load: isSameTarget ? existing.load : undefined,
+        candidate: {
+          hostId: member.id,
+          locality: computeLocality(member),
+          slots: member.info.target?.slots ?? 1,
+          openCalls: existing?.candidate.openCalls ?? 0,
+          sentWork: isSameTarget ? existing.candidate.sentWork : 0,
+          load: isSameTarget ? existing.candidate.load : undefined,
+          loadAgeMs: 0,
+          queueAgeMs: 0,
+          isCold: member.info.target?.isCold === true,
+        },
         loadReceivedAt: isSameTarget ? existing.loadReceivedAt : 0,
         lastResponseAt: existing?.lastResponseAt ?? 0,
         circuitBreaker: isSameProcess
@@ -128,14 +133,16 @@
     },
     chooseTarget(service, triedHosts, call) {
       const now = clock.monotonic();
-      const callableEntries = listCallable(service);
-      const allowedEntries = callableEntries.filter(({ circuitBreaker }) =>
-        circuitBreaker.mayCall(now),
-      );
+      const allowed: mesh.PlacementCandidate[] = [];
+      const callable: mesh.PlacementCandidate[] = [];
+      entries.forEach((entry) => {
+        if (!isCallable(entry, service)) return;
+        const candidate = updateCandidate(entry, now);
+        callable.push(candidate);
+        if (entry.circuitBreaker.mayCall(now)) allowed.push(candidate);
+      });
       const placement = mesh.choosePlacement(
-        (allowedEntries.length > 0 ? allowedEntries : callableEntries).map((entry) =>
-          describeCandidate(entry, now),
-        ),
+        allowed.length > 0 ? allowed : callable,
         triedHosts,
         call,
         mesh.placementDefaults,
@@ -150,22 +157,25 @@
         (entry) =>
           !triedHosts.has(entry.member.id) &&
           entry.circuitBreaker.mayCall(now) &&
-          mesh.hasFreeSlot(describeCandidate(entry, now), mesh.placementDefaults, mayGuess),
+          mesh.hasFreeSlot(updateCandidate(entry, now), mesh.placementDefaults, mayGuess),
       );
     },
     recordLoad(hostId, load) {
       const entry = entries.get(hostId);
       if (!entry) return;
-      entry.load = load;
+      entry.candidate.load = load;
+      entry.candidate.sentWork = 0;
       entry.loadReceivedAt = clock.monotonic();
     },
-    recordAttemptStart(hostId) {
-      const entry = entries.get(hostId);
-      if (entry) entry.openCalls += 1;
+    recordAttemptStart(hostId, work) {
+      const candidate = entries.get(hostId)?.candidate;
+      if (!candidate) return;
+      candidate.openCalls += 1;
+      candidate.sentWork += work;
     },
     recordAttemptEnd(hostId) {
-      const entry = entries.get(hostId);
-      if (entry) entry.openCalls = Math.max(0, entry.openCalls - 1);
+      const candidate = entries.get(hostId)?.candidate;
+      if (candidate) candidate.openCalls = Math.max(0, candidate.openCalls - 1);
     },
     recordUnreachable(hostId, openedAt) {
       const entry = entries.get(hostId);
--- a/packages/proxy/src/mesh/upstream-response.ts
+++ b/packages/proxy/src/mesh/upstream-response.ts
@@ -9,6 +9,8 @@
   message: http.IncomingMessage;
   /** The incarnation of the target, if it states in this response that it is leaving. */
   leavingTarget: string | undefined;
+  /** Time that the target took until its response; undefined from hosts that do not report it. */
+  ranMs?: number | undefined;
   /** True once the whole body has been received; valid from its `end` or `close` event on. */
   isComplete(): boolean;
 }
--- a/packages/proxy/test/mesh-call-guard.test.ts
+++ b/packages/proxy/test/mesh-call-guard.test.ts
@@ -121,6 +121,9 @@
     slots: 1,
     serviceMs: 1,
     startDelayMs: 0,
+    remainingMs: 0,
+    lateRemainingMs: 0,
+    unitMs: 0,
     failureShare: 0,
   };
 
--- a/packages/proxy/test/mesh-early-responses.test.ts
+++ b/packages/proxy/test/mesh-early-responses.test.ts
@@ -150,6 +150,9 @@
       slots: 1,
       serviceMs: 1,
       startDelayMs: 0,
+      remainingMs: 0,
+      lateRemainingMs: 0,
+      unitMs: 0,
       failureShare: 0,
     }),
     run(_attempt: types.Attempt, handler: types.AttemptHandler) {
--- a/packages/proxy/test/mesh-unsized-bodies.test.ts
+++ b/packages/proxy/test/mesh-unsized-bodies.test.ts
@@ -74,6 +74,9 @@
       slots: 1,
       serviceMs: 1,
       startDelayMs: 0,
+      remainingMs: 0,
+      lateRemainingMs: 0,
+      unitMs: 0,
       failureShare: 0,
     }),
     run(attempt, handler) {
