Mesh: nested calls need a public route, not a key

The exception for calls whose id extends that of a running call could be used by any caller on the same host.

--- a/packages/core/src/mesh/accounts.ts
+++ b/packages/core/src/mesh/accounts.ts
@@ -30,20 +30,18 @@
 }
 
 /**
- * Identifies the caller of one call. A nested call, which a target makes while it runs another one, and
- * a call on a public route need no key; a key that is sent must be known all the same.
+ * Identifies the caller of one call. A call on a public route needs no key, and targets make their nested
+ * calls on such routes; a key that is sent must be known all the same.
  *
  * @example
- * identifyCaller(accounts, { apiKey: undefined, isPublic: true, isNested: false }).type; // 'allowed'
+ * identifyCaller(accounts, { apiKey: undefined, isPublic: true }).type; // 'allowed'
  */
 export function identifyCaller(
   accounts: AccountTable,
-  call: { apiKey: string | undefined; isPublic: boolean; isNested: boolean },
+  call: { apiKey: string | undefined; isPublic: boolean },
 ): CallerVerdict {
   if (call.apiKey === undefined)
-    return call.isPublic || call.isNested
-      ? { type: 'allowed', account: undefined }
-      : { type: 'unknown' };
+    return call.isPublic ? { type: 'allowed', account: undefined } : { type: 'unknown' };
   const account = accounts.findByKey(call.apiKey);
   return account ? { type: 'allowed', account } : { type: 'unknown' };
 }
--- a/packages/proxy/src/mesh/caller-admission.ts
+++ b/packages/proxy/src/mesh/caller-admission.ts
@@ -11,7 +11,6 @@
   route: mesh.RoutePolicy;
   /** Accounts of the version in force; undefined if callers need no keys. */
   accounts: mesh.AccountTable | undefined;
-  isNested: boolean;
 }
 
 export type AdmissionVerdict =
@@ -59,7 +58,7 @@
  *
  * @example
  * const admission = createCallerAdmission({ ctx, configuration, quota });
- * const verdict = await admission.admit({ headers, route, accounts, isNested: false });
+ * const verdict = await admission.admit({ headers, route, accounts });
  */
 export function createCallerAdmission(input: CallerAdmissionInput): CallerAdmission {
   const { ctx, configuration, quota } = input;
@@ -112,12 +111,11 @@
         };
 
   return {
-    admit({ headers, route, accounts, isNested }) {
+    admit({ headers, route, accounts }) {
       if (!accounts) return { type: 'admitted', account: undefined };
       const identity = mesh.identifyCaller(accounts, {
         apiKey: readApiKey(headers, protocol),
         isPublic: route.isPublic === true,
-        isNested,
       });
       if (identity.type === 'unknown') return refuseUnknownKey();
       const { account } = identity;
--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -312,7 +312,6 @@
       headers: request.headers,
       route,
       accounts,
-      isNested: isNestedCall,
     });
     if (verdict instanceof Promise)
       verdict.then(applyVerdict).catch(
