Mesh: quotas of the client accounts over all hosts

Cause: the limits of accounts were read and not applied. Change: each host leases its share of every limit, one part in as many as there are hosts, to the two coordinators of each account, and moves it only once these have confirmed or their leases must have expired. Coordinators grant tokens from the shares that they hold, over UDP on the port above peerPort. A host that no coordinator can reach uses its own share. Stamps that are returned to their sender prove that messages are recent; a suspension voids leases and tokens. The check of the two clocks moves from version-proof.ts to clock-check.ts, which both use.

--- a/packages/core/src/mesh/index.ts
+++ b/packages/core/src/mesh/index.ts
@@ -14,6 +14,7 @@
   type HedgeDelayEstimator,
   type HedgeDelayOptions,
 } from './hedge-delay.js';
+export { createClockCheck, type ClockCheck } from './clock-check.js';
 export { computeCallTimes, type CallTimes } from './call-times.js';
 export {
   createCallStateMachine,
@@ -95,6 +96,25 @@
   type PollScheduleOptions,
   type PollStep,
 } from './source-poll-schedule.js';
+export {
+  createQuotaCoordinator,
+  type QuotaCoordinator,
+  type QuotaCoordinatorInput,
+} from './quota-coordinator.js';
+export {
+  quotaDefaults,
+  type QuotaAnswer,
+  type QuotaAsk,
+  type QuotaOptions,
+  type QuotaReply,
+  type QuotaRequest,
+  type QuotaStamp,
+  type ShareDelegation,
+} from './quota-messages.js';
+export type { QuotaMembership } from './quota-share.js';
+export { MAX_ASKS_PER_REQUEST, type AddressedRequest } from './quota-requests.js';
+export { createQuotaSpender, type QuotaSpender, type QuotaSpenderInput } from './quota-spender.js';
+export type { QuotaRefusal, QuotaVerdict } from './quota-verdict.js';
 export { createStatedRateLimit, type StatedRateLimit } from './stated-rate-limit.js';
 export { createTrafficSplitter, type TrafficSplitter } from './traffic-splitter.js';
 export {
--- a/packages/core/src/mesh/version-proof.ts
+++ b/packages/core/src/mesh/version-proof.ts
@@ -4,10 +4,11 @@
  * question was asked whose response proved it, and never from when a message arrived: a message may
  * have waited anywhere for any time.
  *
- * The monotonic clock stands still while a machine is suspended. The wall clock does not, but it may be
- * stepped. When the two move apart, the time that has passed is not known, and the proof is void.
+ * When the wall clock and the monotonic clock move apart, the time that has passed is not known, and the
+ * proof is void.
  */
 import type * as clock from '../shared/clock.js';
+import * as clockCheck from './clock-check.js';
 
 export interface VersionProofOptions {
   /** Difference between the two clocks from which on the proof is void, in milliseconds. */
@@ -40,16 +41,13 @@
   { now, monotonic }: clock.Clock,
   options: VersionProofOptions,
 ): VersionProof {
-  const getClockOffset = (): number => now() - monotonic();
-  let clockOffset = getClockOffset();
+  const clocks = clockCheck.createClockCheck({ now, monotonic }, options.maxClockDriftMs);
   /** Questions that were asked until then prove nothing. */
   let validSince = Number.NEGATIVE_INFINITY;
   let provenAt = Number.NEGATIVE_INFINITY;
 
   const checkClocks = (): void => {
-    const offset = getClockOffset();
-    if (Math.abs(offset - clockOffset) <= options.maxClockDriftMs) return;
-    clockOffset = offset;
+    if (!clocks.takeJump()) return;
     validSince = monotonic();
     provenAt = Number.NEGATIVE_INFINITY;
   };
@@ -60,7 +58,7 @@
       if (proof.askedAt <= validSince) return;
       provenAt = Math.max(provenAt, proof.provenAt);
       // Slow drift must not add up over many proofs.
-      clockOffset = getClockOffset();
+      clocks.accept();
     },
     getAgeMs() {
       checkClocks();
--- a/packages/proxy/src/mesh/caller-admission.ts
+++ b/packages/proxy/src/mesh/caller-admission.ts
@@ -25,6 +25,8 @@
       account?: string;
       /** Age of the proof that the version in force is the newest; undefined if it does not matter. */
       proofAgeMs?: number;
+      /** What the quota has decided by, for the log. */
+      quota?: Omit<mesh.QuotaRefusal, 'retryAfterMs'>;
     };
 
 export interface CallerAdmission {
@@ -100,16 +102,18 @@
   const decideQuota = (
     account: mesh.ClientAccount,
     verdict: quotas.QuotaVerdict,
-  ): AdmissionVerdict =>
-    verdict.type === 'admitted'
-      ? { type: 'admitted', account }
-      : {
-          type: 'refused',
-          status: quotas.statusByVerdict[verdict.type],
-          cause: verdict.type,
-          retryAfterMs: verdict.retryAfterMs,
-          account: account.name,
-        };
+  ): AdmissionVerdict => {
+    if (verdict.type === 'admitted') return { type: 'admitted', account };
+    const { type, retryAfterMs, ...quotaDetails } = verdict;
+    return {
+      type: 'refused',
+      status: quotas.statusByVerdict[type],
+      cause: type,
+      retryAfterMs,
+      account: account.name,
+      quota: quotaDetails,
+    };
+  };
 
   return {
     admit({ headers, route, accounts, isNested }) {
--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -205,6 +205,7 @@
       version,
       retryAfterMs: Math.round(retryAfterMs),
       proofAgeMs,
+      ...refusal.quota,
       ...configuration.getConfirmation(),
     });
     sendEmptyResponse(response, status, retryAfterMs);
--- a/packages/proxy/src/mesh/gossip-members.ts
+++ b/packages/proxy/src/mesh/gossip-members.ts
@@ -13,6 +13,11 @@
  */
 export interface Members {
   list(): core.Member[];
+  /**
+   * Counts the hosts that have not left: members, dead ones included, and entries of the host registry.
+   * Undefined before that has been read.
+   */
+  countKnownHosts(): number | undefined;
   /** Updates this process's own record and sends it to some members at once. */
   setInfo(info: Partial<core.MemberInfo>): void;
   /** Sets the configuration version that gossip messages carry. */
@@ -117,6 +122,7 @@
   let version = NO_VERSION;
   /** Highest epoch of the source that a member has sent and this process had not received yet. */
   let announcedEpoch = NO_EPOCH;
+  let hasListed = false;
 
   /** Monotonic times at which pings were sent, by their sequence numbers. */
   const pingTimes = new Map<number, number>();
@@ -227,6 +233,7 @@
       .map(({ item }) => item);
 
   const updateListedEndpoints = (endpoints: readonly core.Endpoint[]): void => {
+    hasListed = true;
     listedEndpoints.clear();
     endpoints
       .filter((endpoint) => formatEndpoint(endpoint) !== formatEndpoint(ownEndpoint))
@@ -279,6 +286,19 @@
     if (epoch !== announcedEpoch) registration.renew();
   });
 
+  const countKnownHosts = (): number | undefined => {
+    if (!hasListed) return undefined;
+    const endpoints = new Set(listedEndpoints.keys());
+    const [left, others] = [true, false].map((hasLeft) =>
+      membership.listMembers().filter(({ status }) => (status === 'left') === hasLeft),
+    );
+    const format = ({ info }: core.Member): string =>
+      formatEndpoint({ address: info.address, port: info.peerPort });
+    left?.forEach((member) => endpoints.delete(format(member)));
+    others?.forEach((member) => endpoints.add(format(member)));
+    return endpoints.size;
+  };
+
   const tick = (): void => {
     wait.startTurn();
     applyEffects(membership.tick(clock.monotonic()));
@@ -294,6 +314,7 @@
 
   return {
     list: () => membership.listMembers(),
+    countKnownHosts,
     setInfo(info) {
       applyEffects(membership.updateInfo(info, clock.monotonic()));
       sendOwnRecord();
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -16,6 +16,7 @@
 import * as peerClient from './peer-client.js';
 import * as peerServer from './peer-server.js';
 import * as quotas from './quota.js';
+import * as quotaTask from './quota-task.js';
 import * as requestQuarantine from './request-quarantine.js';
 import * as stallMonitors from './stall-monitor.js';
 import * as auxiliaryServers from './auxiliary-servers.js';
@@ -93,6 +94,8 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
     callers.setLimits(config.limits);
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
+    quota.setAccounts(config.accounts ?? []);
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
     announceReady();
   };
 
@@ -177,7 +180,9 @@
     countProcesses: () =>
       Math.max(1, members.list().filter(({ status }) => status === 'alive').length),
   });
-  const quota = quotas.createUnlimitedQuota();
+  const quota = settings.quota
+    ? quotaTask.createQuotaTask({ ctx, bounds: settings.quota, members })
+    : quotas.createUnlimitedQuota();
   const callers = callerServer.createCallerServer({
     ctx,
     linkUsage,
@@ -255,6 +260,7 @@
     peerAttempts.destroy();
     peers.close();
     target.stop();
+    quota.stop();
     members.stop();
     stallMonitor.stop();
     loadMonitor.stop();
@@ -273,6 +279,7 @@
         metrics.start(settings.address, settings.metricsPort),
         callers.start(),
         members.start(),
+        quota.start(),
         ...localServers.map((server) => server.start()),
       ]);
       configuration.start();
--- a/packages/proxy/src/mesh/quota.ts
+++ b/packages/proxy/src/mesh/quota.ts
@@ -2,16 +2,13 @@
 import type * as mesh from '@figshed/core/mesh';
 import * as constants from './constants.js';
 
-export type QuotaVerdict =
-  | { type: 'admitted' }
-  /** The account has used up its limit. */
-  | { type: 'over-limit'; retryAfterMs: number }
-  /** Whether the account is within its limit cannot be found out. */
-  | { type: 'quota-unknown'; retryAfterMs: number };
+export type QuotaVerdict = mesh.QuotaVerdict;
 
 export interface Quota {
   /** Takes a call of the account from its limit, at once or after asking another host. */
   admit(account: mesh.ClientAccount): QuotaVerdict | Promise<QuotaVerdict>;
+  /** Sets the accounts of the version in force. */
+  setAccounts(accounts: readonly mesh.ClientAccount[]): void;
   start(): Promise<void>;
   stop(): void;
 }
@@ -31,6 +28,7 @@
 export function createUnlimitedQuota(): Quota {
   return {
     admit: () => ({ type: 'admitted' }),
+    setAccounts: () => undefined,
     start: () => Promise.resolve(),
     stop: () => undefined,
   };
