Mesh: quotas on real processes, and calls that wait while shares move

Cause: on real processes, a call in the first 0.2 s after the start got 503, since the coordinators had not received all shares yet. With one of the two coordinators of an account dead, 429 was given although half of the limit was out of reach.

--- a/packages/core/src/mesh/quota-share.ts
+++ b/packages/core/src/mesh/quota-share.ts
@@ -26,6 +26,8 @@
   getDelegation(): messages.ShareDelegation | undefined;
   /** Returns whether a coordinator should be sent the present delegation soon. */
   isOutdated(coordinator: string): boolean;
+  /** Returns whether coordinators may not have received all shares that they are to hold. */
+  isMoving(now: number): boolean;
   getCoordinators(): readonly string[];
   /** Lists the coordinators in use and those that follow. */
   listContacts(): string[];
@@ -45,6 +47,9 @@
   leasedUntil: number;
 }
 
+/** Time in which other hosts follow a change that this one has made; their views differ by that. */
+const MOVE_MS = 1_000;
+
 /**
  * Creates a share that is leased to nobody. Times are monotonic and in milliseconds.
  *
@@ -65,8 +70,14 @@
   let others: readonly string[] = [];
   let generation = 0;
   let isProvisional = true;
+  let changedAt = startedAt;
   let knownHosts: number | undefined;
 
+  const startGeneration = (now: number): void => {
+    generation += 1;
+    changedAt = now;
+  };
+
   const isSameSet = (left: readonly string[], right: readonly string[]): boolean =>
     left.join('|') === right.join('|');
 
@@ -88,7 +99,7 @@
       knownHosts === others.length + 1 && coordinators.length > 0 && listUnconfirmed().length === 0;
     if (!isProvisional || (!isConfirmed && now < provisionalUntil)) return;
     isProvisional = false;
-    generation += 1;
+    startGeneration(now);
   };
 
   const update = (now: number): void => {
@@ -96,14 +107,14 @@
     if (next && coordinators.every((id) => hasConfirmed(id, now))) {
       coordinators = next;
       next = undefined;
-      generation += 1;
+      startGeneration(now);
     }
     const contacts = new Set(listContacts());
     states.forEach(({ leasedUntil }, id) => {
       if (!contacts.has(id) && !isProvisional && leasedUntil <= now) states.delete(id);
     });
     if (next || isSameSet(wanted, coordinators)) return;
-    generation += 1;
+    startGeneration(now);
     if (coordinators.length === 0) coordinators = wanted;
     else next = wanted;
   };
@@ -134,6 +145,7 @@
       const state = states.get(id);
       return state ? state.generation !== generation : isProvisional;
     },
+    isMoving: (now) => isProvisional || next !== undefined || now < changedAt + MOVE_MS,
     getCoordinators: () => coordinators,
     listContacts,
     getKnownHosts: () => knownHosts,
--- a/packages/core/src/mesh/quota-spender.ts
+++ b/packages/core/src/mesh/quota-spender.ts
@@ -13,7 +13,7 @@
 import * as quotaRequests from './quota-requests.js';
 import * as shares from './quota-share.js';
 import type * as types from './types.js';
-import type * as verdicts from './quota-verdict.js';
+import * as verdicts from './quota-verdict.js';
 
 export interface QuotaSpender {
   setView(view: shares.QuotaMembership): void;
@@ -59,12 +59,13 @@
   usedAt: number;
 }
 
-/** Part of a limit whose coordinators must have refused before a call counts as beyond the limit. */
-const MIN_REFUSED_SHARE = 0.4;
-/** Delay before a call is asked for again while no coordinator is known. */
-const NO_COORDINATOR_MS = 50;
-/** Time after which a call may return that nobody could decide; one to two times. */
-const UNKNOWN_RETRY_MS = 400;
+/**
+ * Part of a limit whose coordinators must have refused before a call counts as beyond the limit; more
+ * than one of the two coordinators of an account holds.
+ */
+const MIN_REFUSED_SHARE = 0.6;
+/** Delay before a call is asked for again while coordinators lack shares, or none is known. */
+const MOVING_RETRY_MS = 50;
 const IDLE_MS = 10_000;
 
 /**
@@ -119,8 +120,6 @@
   const listCoordinators = (name: string): readonly string[] =>
     assignment.listCoordinators(name, share.getCoordinators());
 
-  const computeUnknownRetryMs = (): number => (1 + random()) * UNKNOWN_RETRY_MS;
-
   /** Decides a call for which no request is under way. */
   const decide = (account: types.ClientAccount, now: number): verdicts.QuotaVerdict => {
     const state = getState(account.name, now);
@@ -140,7 +139,7 @@
       return { type: 'over-limit', retryAfterMs, ...details };
     }
     const untilFloorMs = Math.min(floorDelayMs ?? 0, options.maxRetryAfterMs);
-    const retryAfterMs = Math.max(untilFloorMs, computeUnknownRetryMs());
+    const retryAfterMs = Math.max(untilFloorMs, verdicts.computeUnknownRetryMs(random()));
     return { type: 'quota-unknown', retryAfterMs, ...details };
   };
 
@@ -163,9 +162,13 @@
   };
 
   const findRetryAt = (waiter: Waiter, now: number): number => {
-    if (share.getCoordinators().length === 0) return now + NO_COORDINATOR_MS;
+    const { answers } = getState(waiter.account.name, now);
+    const isOverLimit = answers.computeRefusedShare(now) >= MIN_REFUSED_SHARE;
+    const coordinators = listCoordinators(waiter.account.name);
+    const mayHear = coordinators.length === 0 || !coordinators.every(requests.isSilent);
+    if (!isOverLimit && mayHear && share.isMoving(now)) return now + MOVING_RETRY_MS;
     if (waiter.hasRetried) return Number.POSITIVE_INFINITY;
-    const nextAt = getState(waiter.account.name, now).answers.getNextAt();
+    const nextAt = answers.getNextAt();
     return nextAt - now <= options.maxTokenDelayMs
       ? Math.max(now, nextAt)
       : Number.POSITIVE_INFINITY;
@@ -194,16 +197,7 @@
     tokens = tokenCache.createTokenCache(cacheOptions);
     states.clear();
     requests.clear();
-    [...waiters].forEach((waiter) =>
-      settle(waiter, {
-        type: 'quota-unknown',
-        retryAfterMs: computeUnknownRetryMs(),
-        refusedShare: 0,
-        answerAgeMs: undefined,
-        silentCoordinators: 0,
-        usesOwnShare: false,
-      }),
-    );
+    [...waiters].forEach((waiter) => settle(waiter, verdicts.createUnknownVerdict(random())));
   };
 
   /** Hands granted tokens to the calls of the account that wait, and keeps the rest. */
@@ -260,11 +254,10 @@
         openRequests: 0,
         isSettled: false,
       };
-      const hasCoordinators = share.getCoordinators().length > 0;
-      if (hasCoordinators && chooseCoordinator(waiter, now) === undefined) {
-        const retryAt = findRetryAt(waiter, now);
-        if (retryAt === Number.POSITIVE_INFINITY) return decide(account, now);
-      }
+      const mustDecide =
+        chooseCoordinator(waiter, now) === undefined &&
+        findRetryAt(waiter, now) === Number.POSITIVE_INFINITY;
+      if (mustDecide) return decide(account, now);
       waiters.add(waiter);
       advance(waiter, now);
       return undefined;
@@ -290,7 +283,7 @@
           settle(waiter, decide(waiter.account, now));
         } else if (waiter.retryAt <= now) {
           waiter.retryAt = Number.POSITIVE_INFINITY;
-          waiter.hasRetried = share.getCoordinators().length > 0;
+          waiter.hasRetried = true;
           waiter.tried.clear();
           advance(waiter, now);
         }
