--- a/packages/core/src/mesh/quota-coordinator.ts
+++ b/packages/core/src/mesh/quota-coordinator.ts
@@ -116,7 +116,8 @@
     if (!entry || entry.rate === 0) return EMPTY_ANSWER;
     const granted = grantTokens(entry, ask, now);
     const missing = Math.max(0, ask.waiting - granted);
-    const nextMs = countRefused(entry, missing + ask.refused, now);
+    // A call that waits is refused by each coordinator of its account, and returns to one of them.
+    const nextMs = countRefused(entry, missing * entry.share + ask.refused, now);
     return { granted, nextMs, spacingMs: MS_PER_SECOND / entry.rate, share: entry.share };
   };
 
