--- a/packages/proxy/src/mesh/caller-admission.ts
+++ b/packages/proxy/src/mesh/caller-admission.ts
@@ -11,7 +11,6 @@
   route: mesh.RoutePolicy;
   /** Accounts of the version in force; undefined if callers need no keys. */
   accounts: mesh.AccountTable | undefined;
-  isNested: boolean;
 }
 
 export type AdmissionVerdict =
@@ -25,6 +24,8 @@
       account?: string;
       /** Age of the proof that the version in force is the newest; undefined if it does not matter. */
       proofAgeMs?: number;
+      /** What the quota has decided by, for the log. */
+      quota?: Omit<mesh.QuotaRefusal, 'retryAfterMs'>;
     };
 
 export interface CallerAdmission {
@@ -59,7 +60,7 @@
  *
  * @example
  * const admission = createCallerAdmission({ ctx, configuration, quota });
- * const verdict = await admission.admit({ headers, route, accounts, isNested: false });
+ * const verdict = await admission.admit({ headers, route, accounts });
  */
 export function createCallerAdmission(input: CallerAdmissionInput): CallerAdmission {
   const { ctx, configuration, quota } = input;
@@ -100,24 +101,25 @@
   const decideQuota = (
     account: mesh.ClientAccount,
     verdict: quotas.QuotaVerdict,
-  ): AdmissionVerdict =>
-    verdict.type === 'admitted'
-      ? { type: 'admitted', account }
-      : {
-          type: 'refused',
-          status: quotas.statusByVerdict[verdict.type],
-          cause: verdict.type,
-          retryAfterMs: verdict.retryAfterMs,
-          account: account.name,
-        };
+  ): AdmissionVerdict => {
+    if (verdict.type === 'admitted') return { type: 'admitted', account };
+    const { type, retryAfterMs, ...quotaDetails } = verdict;
+    return {
+      type: 'refused',
+      status: quotas.statusByVerdict[type],
+      cause: type,
+      retryAfterMs,
+      account: account.name,
+      quota: quotaDetails,
+    };
+  };
 
   return {
-    admit({ headers, route, accounts, isNested }) {
+    admit({ headers, route, accounts }) {
       if (!accounts) return { type: 'admitted', account: undefined };
       const identity = mesh.identifyCaller(accounts, {
         apiKey: readApiKey(headers, protocol),
         isPublic: route.isPublic === true,
-        isNested,
       });
       if (identity.type === 'unknown') return refuseUnknownKey();
       const { account } = identity;
--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -205,6 +205,7 @@
       version,
       retryAfterMs: Math.round(retryAfterMs),
       proofAgeMs,
+      ...refusal.quota,
       ...configuration.getConfirmation(),
     });
     sendEmptyResponse(response, status, retryAfterMs);
@@ -312,7 +313,6 @@
       headers: request.headers,
       route,
       accounts,
-      isNested: isNestedCall,
     });
     if (verdict instanceof Promise)
       verdict.then(applyVerdict).catch(
