--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -4,6 +4,8 @@
  * cannot finish before their deadline are shed early.
  */
 
+import * as fairClocks from './fair-clock.js';
+
 export interface AdmissionRequest {
   id: string;
   customer: string;
@@ -64,9 +66,8 @@
 export function createAdmissionController(options: AdmissionOptions): AdmissionController {
   let { slots } = options;
   let averageServiceMs = 0;
-  let virtualTime = 0;
   const running = new Set<string>();
-  const lastFinishByCustomer = new Map<string, number>();
+  const fairClock = fairClocks.createFairClock();
   let queue: QueuedRequest[] = [];
 
   const start = (id: string): AdmissionEffect => {
@@ -75,9 +76,7 @@
   };
 
   const insert = (request: AdmissionRequest): void => {
-    const virtualStart = Math.max(virtualTime, lastFinishByCustomer.get(request.customer) ?? 0);
-    const virtualFinish = virtualStart + 1 / request.weight;
-    lastFinishByCustomer.set(request.customer, virtualFinish);
+    const virtualFinish = fairClock.charge(request.customer, 1 / request.weight);
     const index = queue.findIndex((other) => other.virtualFinish > virtualFinish);
     queue.splice(index < 0 ? queue.length : index, 0, { ...request, virtualFinish });
   };
@@ -89,23 +88,19 @@
     const effects: AdmissionEffect[] = [];
     while (running.size < slots && queue.length > 0) {
       const next = queue.shift() as QueuedRequest;
-      virtualTime = Math.max(virtualTime, next.virtualFinish);
+      fairClock.recordStart(next.virtualFinish);
       effects.push(
         isTooLate(next, now) ? { type: 'shed', id: next.id, reason: 'deadline' } : start(next.id),
       );
     }
-    if (queue.length === 0) lastFinishByCustomer.clear();
+    if (queue.length === 0) fairClock.clear();
     return effects;
   };
 
   const shedExcess = (): AdmissionEffect[] => {
     if (queue.length <= slots * options.queuePerSlot) return [];
     const last = queue.pop() as QueuedRequest;
-    // A shed call must not count against its customer's fair share.
-    lastFinishByCustomer.set(
-      last.customer,
-      Math.max(virtualTime, last.virtualFinish - 1 / last.weight),
-    );
+    fairClock.refund(last.customer, 1 / last.weight);
     return [{ type: 'shed', id: last.id, reason: 'queue-full' }];
   };
 
--- a/packages/core/src/mesh/index.ts
+++ b/packages/core/src/mesh/index.ts
@@ -47,6 +47,7 @@
   type LinkPacerOptions,
 } from './link-pacer.js';
 export { createLinkQueue, type LinkQueue, type Transfer } from './link-queue.js';
+export { createFairTurns, type FairTurns, type TurnHolder } from './fair-turns.js';
 export {
   createLateShare,
   lateShareDefaults,
--- a/packages/core/src/mesh/placement.ts
+++ b/packages/core/src/mesh/placement.ts
@@ -18,7 +18,7 @@
   slots: number;
   /** Open attempts of this process at the target. */
   openCalls: number;
-  /** Expected work of the calls that this process has sent since the last load report. */
+  /** Expected work of the calls that this process has sent since the last load report and are open. */
   sentWork: number;
   /** Last load report; undefined before the first. */
   load: types.TargetLoad | undefined;
@@ -53,6 +53,11 @@
    * its slots finish the reported work and one more call.
    */
   relaxationFactor: number;
+  /**
+   * Load of a target whose report no longer counts, as a share of the mean of the reports. These come with
+   * responses, so they over-represent busy targets and busy moments.
+   */
+  unreportedLoadShare: number;
   /** Assumed service time before the first measurement, in milliseconds. */
   initialServiceMs: number;
   /** Multiple of the service time during the slow start of a target. */
@@ -73,7 +78,8 @@
   // Bytes between regions were the largest cost of the first measured run, 69 to 81 MB in 27 s, at 6 ms.
   kilobyteCostMs: { 'own-host': 0, 'data-centre': 0, region: 2, remote: 10 },
   loadHalfLifeMs: 1_500,
-  relaxationFactor: 4,
+  relaxationFactor: 8,
+  unreportedLoadShare: 0.5,
   initialServiceMs: 100,
   slowStartFactor: 2,
   failureCostMs: 1_500,
@@ -211,19 +217,20 @@
  * load is aged towards the usual one, since others send calls as well while its slots work.
  */
 function computeTimeByWork(
-  { load = emptyLoad, queueAgeMs, slots: slotCount, openCalls, sentWork }: PlacementCandidate,
+  { load: lastLoad, queueAgeMs, slots: slotCount, openCalls, sentWork }: PlacementCandidate,
   { mayBeLate, work }: PlacementCall,
   { usual, unitMs, freshness }: { usual: UsualLoad; unitMs: number; freshness: number },
   options: PlacementOptions,
 ): number {
+  const load = lastLoad ?? emptyLoad;
   const slots = Math.max(1, slotCount);
   const reportedMs = load.remainingMs + (mayBeLate ? load.lateRemainingMs : 0);
   const reportedCalls = load.running + load.waiting + (mayBeLate ? load.late : 0);
   const relaxationMs = options.relaxationFactor * (reportedMs / slots + unitMs);
-  const relevance = 1 / (1 + queueAgeMs / relaxationMs);
-  const calls = reportedCalls * relevance + usual.callsPerSlot * slots * (1 - relevance) + sentWork;
-  const aheadMs =
-    reportedMs * relevance + (usual.workPerSlot * slots * (1 - relevance) + sentWork) * unitMs;
+  const relevance = lastLoad ? 1 / (1 + queueAgeMs / relaxationMs) : 0;
+  const usualSlots = options.unreportedLoadShare * slots * (1 - relevance);
+  const calls = reportedCalls * relevance + usual.callsPerSlot * usualSlots + sentWork;
+  const aheadMs = reportedMs * relevance + (usual.workPerSlot * usualSlots + sentWork) * unitMs;
   const occupancy = Math.max(calls, openCalls);
   const meanAheadMs = calls > 0 ? aheadMs / calls : unitMs;
   const waitMs = Math.max(
--- a/packages/core/src/mesh/slot-queue.ts
+++ b/packages/core/src/mesh/slot-queue.ts
@@ -5,9 +5,12 @@
  * a start. A call that would be queued and is expected to miss its latency objective is refused at
  * once, so that it can be sent to another host. If no host can meet the objective, the call may be
  * offered again as a late call (`mayBeLate`), which is queued while its deadline can be met. Queued
- * calls that can no longer meet their objective start after all others. A target that asks for fewer
+ * calls that can no longer meet their objective start after all others. Once a call has an account,
+ * accounts share the starts of their rank fairly. A target that asks for fewer
  * calls gets them at the rate that it names, which counts as a queueing delay.
  */
+import type * as clock from '../shared/clock.js';
+import * as fairTurns from './fair-turns.js';
 import * as lateShares from './late-share.js';
 import * as remainingTime from './remaining-time.js';
 import * as serviceTimeEstimates from './service-time-estimates.js';
@@ -23,6 +26,10 @@
   work?: number;
   /** Expected work, relative to the mean of its kind; defaults to 1. */
   workWithinKind?: number;
+  /** Client account, among which starts are shared; undefined for a call without one. */
+  account?: string | undefined;
+  /** True if the caller returns after a refusal of this call. */
+  wasRejected?: boolean;
   /** Priority; lower is more urgent. Nested calls, made by running calls, have negative ranks. */
   rank: number;
   /**
@@ -50,6 +57,11 @@
   minRemainingShare: number;
   /** Maximum number of queued calls per slot; bounds memory. */
   maxWaitingPerSlot: number;
+  /**
+   * Random part of the time after which a caller with an account may return, as a share of the expected
+   * time until the queue has room or of a service time, so that callers do not return together.
+   */
+  retrySpread: number;
 }
 
 export const slotQueueDefaults: SlotQueueOptions = {
@@ -57,6 +69,7 @@
   lateShare: lateShares.lateShareDefaults,
   minRemainingShare: 0.25,
   maxWaitingPerSlot: 8,
+  retrySpread: 0.5,
 };
 
 export type SlotLoad = Pick<
@@ -109,7 +122,9 @@
   getLoad(now: number): SlotLoad;
 }
 
-interface QueuedRequest extends SlotRequest {
+interface QueuedRequest extends SlotRequest, fairTurns.TurnHolder {
+  /** Expected service time that its account was charged, in milliseconds. */
+  costMs: number;
   enqueuedAt: number;
   /** Assumed service time while there are no recent samples of its kind, in milliseconds. */
   priorMs: number;
@@ -122,12 +137,16 @@
 }
 
 /**
- * Creates an empty queue for one target.
+ * Creates an empty queue for one target. `random` spreads the times at which callers return.
  *
  * @example
- * const queue = createSlotQueue(18, slotQueueDefaults);
+ * const queue = createSlotQueue(18, slotQueueDefaults, Math.random);
  */
-export function createSlotQueue(initialSlots: number, options: SlotQueueOptions): SlotQueue {
+export function createSlotQueue(
+  initialSlots: number,
+  options: SlotQueueOptions,
+  random: clock.Random = () => 0,
+): SlotQueue {
   let slots = initialSlots;
   const serviceTimes = serviceTimeEstimates.createServiceTimes(options.serviceTimes);
   const remainingTimes = remainingTime.createRemainingTimes(remainingTime.remainingTimeDefaults);
@@ -136,6 +155,9 @@
   const lateShare = lateShares.createLateShare(options.lateShare);
   const running = new Map<string, RunningRequest>();
   let waiting: QueuedRequest[] = [];
+  const turns = fairTurns.createFairTurns();
+  /** True once a call had an account; before, calls of one rank start by their objectives alone. */
+  let hasAccounts = false;
 
   const estimateKindMs = ({ kind, priorMs }: QueuedRequest, now: number): number =>
     serviceTimes.estimateMs(kind, priorMs, now);
@@ -166,6 +188,7 @@
   const compareUrgency = (left: QueuedRequest, right: QueuedRequest, now: number): number =>
     Number(isLate(left, now)) - Number(isLate(right, now)) ||
     left.rank - right.rank ||
+    left.turn - right.turn ||
     left.objectiveAt - right.objectiveAt;
 
   /**
@@ -199,20 +222,25 @@
     );
   };
 
-  const refuse = (
-    { id, deliveryWaitMs = 0 }: SlotRequest,
-    reason: 'full' | 'too-late',
-    now: number,
-  ): SlotEffect => ({
-    type: 'refuse',
-    id,
-    reason,
-    retryAfterMs: Math.max(
+  const computeRetryAfterMs = ({ deliveryWaitMs = 0 }: SlotRequest, now: number): number => {
+    const roomMs = Math.max(
       estimateNextEndMs(now) + estimateQueuedMs(waiting, now),
       startRate.computeDelayMs(waiting.length + 1, now),
       deliveryWaitMs,
-    ),
-  });
+    );
+    if (!hasAccounts) return roomMs;
+    return roomMs + random() * options.retrySpread * Math.max(roomMs, serviceTimes.getMeanMs());
+  };
+
+  const refuse = (request: QueuedRequest, reason: 'full' | 'too-late', now: number): SlotEffect => {
+    if (hasAccounts) turns.remove(request, waiting, request.costMs);
+    return {
+      type: 'refuse',
+      id: request.id,
+      reason,
+      retryAfterMs: computeRetryAfterMs(request, now),
+    };
+  };
 
   /** Refuses the calls that are expected to start too late, given those ahead of them. */
   const refuseExpired = (now: number): SlotEffect[] => {
@@ -238,9 +266,11 @@
       if (waiting.some((request) => isLate(request, now)))
         lateShare.recordStart(isLate(next, now), now);
       waiting = waiting.filter((request) => request !== next);
+      if (hasAccounts) turns.recordStart(next);
       running.set(next.id, { ...next, startedAt: now, expectedMs: estimateMs(next, now) });
       effects.push({ type: 'run', id: next.id, waitedMs: now - next.enqueuedAt });
     }
+    if (hasAccounts && waiting.length === 0) turns.clear();
     return effects;
   };
 
@@ -259,17 +289,22 @@
   return {
     offer(request, now) {
       const priorMs = serviceTimes.computePriorMs(request.objectiveAt - now);
-      const queued = { ...request, enqueuedAt: now, priorMs };
+      const queued: QueuedRequest = { ...request, enqueuedAt: now, priorMs, turn: 0, costMs: 0 };
+      hasAccounts ||= request.account !== undefined;
+      if (hasAccounts) {
+        queued.costMs = estimateMs(queued, now);
+        turns.add(queued, waiting, queued.costMs);
+      }
       const ahead = waiting.filter((other) => compareUrgency(other, queued, now) <= 0);
       const waitMs = estimateWaitMs(ahead, request.mayBeLate, now);
-      if (isExpectedTooLate(queued, waitMs, now)) return [refuse(request, 'too-late', now)];
+      if (isExpectedTooLate(queued, waitMs, now)) return [refuse(queued, 'too-late', now)];
       const mayWaitLessElsewhere = waitMs > 0 || (request.deliveryWaitMs ?? 0) > 0;
       if (
         !request.mayBeLate &&
         mayWaitLessElsewhere &&
         isObjectiveMissed(queued, now + waitMs, now)
       ) {
-        return [refuse(request, 'full', now)];
+        return [refuse(queued, 'full', now)];
       }
       waiting.push(queued);
       const effects = startNext(now);
@@ -290,9 +325,11 @@
       return release(id, isSlow ? ranMs : undefined, now);
     },
     cancel(id) {
-      const previousLength = waiting.length;
-      waiting = waiting.filter((request) => request.id !== id);
-      return waiting.length < previousLength;
+      const cancelled = waiting.find((request) => request.id === id);
+      if (!cancelled) return false;
+      waiting = waiting.filter((request) => request !== cancelled);
+      if (hasAccounts) turns.remove(cancelled, waiting, cancelled.costMs);
+      return true;
     },
     setSlots(next, now) {
       slots = next;
@@ -305,6 +342,7 @@
     drain() {
       const ids = waiting.map(({ id }) => id);
       waiting = [];
+      turns.clear();
       return ids;
     },
     poll: startNext,
--- a/packages/core/test/mesh-slot-queue.test.ts
+++ b/packages/core/test/mesh-slot-queue.test.ts
@@ -211,4 +211,54 @@
     queue.setRateLimit(undefined, 8_000);
     assert.equal(queue.getLoad(8_000).startDelayMs, 0);
   });
+
+  const createAccountCall = (
+    id: string,
+    account: string,
+    overrides: Partial<mesh.SlotRequest> = {},
+  ): mesh.SlotRequest =>
+    createRequest(id, { account, mayBeLate: true, deadlineAt: 5_000, ...overrides });
+
+  it('shares the starts among accounts by work, so that none waits behind the calls of another', () => {
+    const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults);
+    queue.offer(createAccountCall('first', 'many'), 0);
+    ['m1', 'm2', 'm3'].forEach((id) => queue.offer(createAccountCall(id, 'many'), 0));
+    queue.offer(createAccountCall('f1', 'few'), 0);
+    queue.offer(createAccountCall('h1', 'heavy', { workWithinKind: 2 }), 0);
+    const startOrder = ['first', 'm1', 'f1', 'm2', 'h1'].flatMap((id) =>
+      listRuns(queue.release(id, undefined, 1)),
+    );
+    assert.deepEqual(startOrder, ['m1', 'f1', 'm2', 'h1', 'm3']);
+  });
+
+  it('starts a call that comes back after a refusal before newcomers of its account', () => {
+    const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults);
+    queue.offer(createAccountCall('first', 'one'), 0);
+    ['n1', 'n2'].forEach((id) => queue.offer(createAccountCall(id, 'one'), 0));
+    queue.offer(createAccountCall('back', 'one', { wasRejected: true }), 0);
+    assert.deepEqual(listRuns(queue.release('first', undefined, 1)), ['back']);
+  });
+
+  it('does not charge an account for calls that never started', () => {
+    const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults);
+    queue.offer(createAccountCall('first', 'one'), 0);
+    queue.offer(createAccountCall('other', 'two'), 0);
+    ['c1', 'c2', 'c3'].forEach((id) => {
+      queue.offer(createAccountCall(id, 'one'), 0);
+      queue.cancel(id);
+    });
+    queue.offer(createAccountCall('last', 'one', { objectiveAt: 500 }), 0);
+    assert.deepEqual(listRuns(queue.release('first', undefined, 1)), ['last']);
+  });
+
+  it('spreads the times at which refused callers return', () => {
+    const values = [0, 0.9];
+    const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults, () => values.shift() ?? 0);
+    queue.offer(createAccountCall('first', 'one'), 0);
+    const refused = ['r1', 'r2'].map((id) => {
+      const [effect] = queue.offer(createAccountCall(id, 'one', { deadlineAt: 100 }), 0);
+      return effect?.type === 'refuse' ? effect.retryAfterMs : -1;
+    });
+    assert.ok((refused[0] ?? 0) > 0 && (refused[1] ?? 0) > (refused[0] ?? 0), String(refused));
+  });
 });
--- a/packages/core/test/overload-simulation.ts
+++ b/packages/core/test/overload-simulation.ts
@@ -38,6 +38,8 @@
   kilobyteMs?: (target: number) => number;
   /** False to place calls by counts, as processes do whose targets do not report work. */
   placesByWork?: boolean;
+  /** False to queue calls as if they had no accounts. */
+  sharesFairly?: boolean;
   choosePlacement?: typeof mesh.choosePlacement;
 }
 
@@ -154,7 +156,7 @@
     (_, index): SimulatedTarget => ({
       hostId: `t${index}`,
       dataCentre: index % load.dataCentres.length,
-      queue: mesh.createSlotQueue(load.slots, mesh.slotQueueDefaults),
+      queue: mesh.createSlotQueue(load.slots, mesh.slotQueueDefaults, random),
       index,
       speed: load.speeds[index % load.speeds.length] ?? 1,
       handlers: new Map(),
@@ -204,7 +206,7 @@
   const ingresses = load.dataCentres.flatMap((_, dataCentre) =>
     Array.from({ length: HOSTS_PER_DATA_CENTRE }, () => ({
       dataCentre,
-      reports: new Map<string, { load: mesh.TargetLoad; at: number }>(),
+      reports: new Map<string, { load: mesh.TargetLoad; at: number; receivedAt: number }>(),
       open: new Map<string, number>(),
       sentWork: new Map<string, number>(),
       workEstimates: mesh.createWorkEstimates(mesh.workEstimateDefaults),
@@ -220,7 +222,7 @@
     ingress: Ingress,
     kind: SimulatedKind,
     arrivedAt: number,
-    retriesLeft: number,
+    isReturning = false,
   ): void => {
     const kindResult = result.byKind.get(kind.name);
     const workKeys = mesh.computeWorkKeys({
@@ -268,10 +270,10 @@
         const heldShare = (now - receivedAt - freeMs) / Math.max(1, fullMs - freeMs);
         result.heldUntried += Math.min(1, Math.max(0, heldShare));
       }
-      if (status === 503 && retriesLeft > 0) {
+      if (status === 503 && !isReturning) {
         ingress.rejectedCalls.record({ key: kind.path, firstReceivedAt, deadlineAt }, now);
         const waitMs = Math.min(retryAfterMs, (deadlineAt - now) / 3);
-        schedule(now + waitMs, () => runCall(ingress, kind, arrivedAt, retriesLeft - 1));
+        schedule(now + waitMs, () => runCall(ingress, kind, arrivedAt, true));
         return;
       }
       kindResult?.latenciesMs.push(load.deadlineMs);
@@ -325,10 +327,17 @@
       nextId += 1;
       const id = `c${nextId}`;
       let isOpen = true;
+      const sentAt = now;
       let startedAt = 0;
       const settle = (): boolean => {
         if (!isOpen) return false;
         isOpen = false;
+        const report = ingress.reports.get(target.hostId);
+        if (!report || sentAt >= report.receivedAt)
+          ingress.sentWork.set(
+            target.hostId,
+            Math.max(0, (ingress.sentWork.get(target.hostId) ?? 0) - work),
+          );
         ingress.open.set(target.hostId, (ingress.open.get(target.hostId) ?? 1) - 1);
         return true;
       };
@@ -361,6 +370,7 @@
               unitMs: placesByWork ? slotLoad.unitMs : 0,
             },
             at: reportedAt,
+            receivedAt: now,
           });
         });
       };
@@ -390,6 +400,10 @@
           objectiveAt,
           deadlineAt,
         };
+        if (kind.account !== undefined && load.sharesFairly !== false) {
+          request.account = kind.account;
+          request.wasRejected = isReturning;
+        }
         if (placesByWork) {
           request.work = target.workEstimates.estimate(workKeys, now);
           request.workWithinKind = target.workEstimates.estimateWithinRoute(workKeys, now);
@@ -430,7 +444,7 @@
         const kind = chooseKind(at);
         const kindResult = result.byKind.get(kind.name);
         if (kindResult) kindResult.arrived += 1;
-        if (ingress) runCall(ingress, kind, at, 1);
+        if (ingress) runCall(ingress, kind, at);
       });
       result.arrived += 1;
     }
--- a/packages/core/test/work-loads.ts
+++ b/packages/core/test/work-loads.ts
@@ -28,6 +28,21 @@
   ...overrides,
 });
 
+const isSurge = (second: number): boolean => second >= 4 && second < 8;
+
+/** Large enough to overload the targets alone when it sends four times its usual rate. */
+const SURGE_SHARE = 0.4;
+const SURGE_FACTOR = 4;
+const surgeKinds = [
+  createKind('surge', {
+    account: 'surge',
+    share: (at) => SURGE_SHARE * (isSurge(at / MS_PER_SECOND) ? SURGE_FACTOR : 1),
+  }),
+  ...['a', 'b', 'c', 'd', 'e', 'f'].map((account) =>
+    createKind(account, { account, share: () => (1 - SURGE_SHARE) / 6 }),
+  ),
+];
+
 /** 3 in 100 calls cost seven times the mean. */
 const skewedKinds = [
   createKind('light', { share: () => 0.97, work: 0.814 }),
@@ -56,6 +71,8 @@
 const slowdown = (target: number, at: number): number =>
   Math.floor(at / (3 * MS_PER_SECOND)) % 4 === target % 4 ? SLOW_FACTOR : 1;
 
+export const SURGE = 'one account at four times its usual rate';
+
 export const workLoads: Record<string, Load> = {
   'steady load': base,
   'skewed work': { ...base, kinds: skewedKinds },
@@ -77,6 +94,13 @@
       second >= 5 && second < 8 ? USUAL_PER_SECOND * BURST_FACTOR : USUAL_PER_SECOND,
     ),
   },
+  [SURGE]: {
+    ...base,
+    kinds: surgeKinds,
+    arrivals: createArrivals(
+      (second) => USUAL_PER_SECOND * (isSurge(second) ? 1 + SURGE_SHARE * (SURGE_FACTOR - 1) : 1),
+    ),
+  },
   'large bodies on narrow links': {
     ...base,
     kinds: [
@@ -86,3 +110,14 @@
     kilobyteMs: (target) => (target % 3 === 0 ? 1.14 : 0.16),
   },
 };
+
+/**
+ * Those on which placement by work must be better. In the others, either all targets have room, or nothing
+ * tells the calls apart, or one account sends more than the targets can serve.
+ */
+export const loadsWithGain: readonly string[] = [
+  'skewed work',
+  'slow periods',
+  'skewed work, slow periods, stale reports',
+  'burst',
+];
--- a/packages/proxy/src/mesh/call-attempts.ts
+++ b/packages/proxy/src/mesh/call-attempts.ts
@@ -40,9 +40,11 @@
  * Creates an empty set. `onSettled` is called once for each attempt when it is removed.
  *
  * @example
- * const attempts = createOpenAttempts((hostId) => targets.recordAttemptEnd(hostId));
+ * const attempts = createOpenAttempts(({ hostId, openedAt }) =>
+ *   targets.recordAttemptEnd(hostId, work, openedAt),
+ * );
  */
-export function createOpenAttempts(onSettled: (hostId: string) => void): OpenAttempts {
+export function createOpenAttempts(onSettled: (attempt: OpenAttempt) => void): OpenAttempts {
   const entries = new Map<number, OpenAttempt>();
   let lastNumber = 0;
 
@@ -50,7 +52,7 @@
     const entry = entries.get(attemptNumber);
     if (entry) {
       entries.delete(attemptNumber);
-      onSettled(entry.hostId);
+      onSettled(entry);
     }
     return entry;
   };
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -78,9 +78,14 @@
     retryBudget.recordCall();
     const triedHosts = new Set<string>();
     const fullHosts = new Set<string>();
-    const key = `${route.name} ${call.method} ${call.path}`;
-    const firstReceivedAt =
-      rejectedCalls.take(key, call.deadlineAt)?.firstReceivedAt ?? call.receivedAt;
+    const key = [
+      route.name,
+      call.method,
+      call.path,
+      ...(call.account ? [call.account.name] : []),
+    ].join(' ');
+    const rejectedCall = rejectedCalls.take(key, call.deadlineAt);
+    const firstReceivedAt = rejectedCall?.firstReceivedAt ?? call.receivedAt;
     const { objectiveAt, deadlineAt, isLate } = mesh.computeCallTimes(
       { receivedAt: call.receivedAt, firstReceivedAt, callerDeadlineAt: call.deadlineAt },
       route,
@@ -117,7 +122,9 @@
       maxLateRefusals: constants.MAX_LATE_REFUSALS,
       takeRetry,
     });
-    const attempts = callAttempts.createOpenAttempts((hostId) => targets.recordAttemptEnd(hostId));
+    const attempts = callAttempts.createOpenAttempts(({ hostId, openedAt }) =>
+      targets.recordAttemptEnd(hostId, work, openedAt),
+    );
     let streamedAttempt: number | undefined;
     let lastHostId = '';
     let bufferedResponse: callAttempts.BufferedResponse | undefined;
@@ -344,6 +351,7 @@
         bodyBytes,
         isStreamed: !Buffer.isBuffer(call.body),
         mayBeLate,
+        wasRejected: rejectedCall !== undefined,
         isTrial: verdict.isTrial,
         rank: call.isNested ? NESTED_CALL_RANK : (call.account?.rank ?? route.rank),
         objectiveAt,
--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -92,7 +92,7 @@
 export function createLocalTarget(input: LocalTargetInput): LocalTarget {
   const { ctx, endpoint, quarantine, workEstimates, getHealthPath, onChange } = input;
   const { clock, log, metrics, protocol } = ctx;
-  const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults);
+  const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults, ctx.random);
   const agent = keepAliveAgent.createAgent(TARGET_IDLE_TIMEOUT_MS);
   const createRequest = targetRequest.createTargetRequestFactory({ protocol, agent, endpoint });
   const silence = silenceMonitor.createSilenceMonitor(
@@ -460,13 +460,15 @@
       if (!target) refuse(key, gate.getClosedReason());
       else if (target.service !== attempt.service) refuse(key, 'wrong-instance');
       else {
-        const { route, rank, mayBeLate } = attempt;
+        const { route, account, wasRejected, rank, mayBeLate } = attempt;
         const deliveryMs = delivery.waitMs + delivery.transmissionMs;
         const request = {
           id: key,
           kind: route,
           work: workEstimates.estimate(workKeys, now),
           workWithinKind: workEstimates.estimateWithinRoute(workKeys, now),
+          account,
+          wasRejected,
           rank,
           deliveryWaitMs: delivery.waitMs,
           mayBeLate,
--- a/packages/proxy/src/mesh/mesh-headers.ts
+++ b/packages/proxy/src/mesh/mesh-headers.ts
@@ -30,6 +30,8 @@
   bodyBytes?: number | undefined;
   /** True if the body is streamed; processes of older versions buffer it. */
   isStreamed?: boolean | undefined;
+  /** True if the caller returns after this call was rejected. */
+  wasRejected?: boolean | undefined;
   /** True if the request is quarantined and tried once more. */
   isTrial?: boolean | undefined;
 }
--- a/packages/proxy/src/mesh/peer-client.ts
+++ b/packages/proxy/src/mesh/peer-client.ts
@@ -103,6 +103,7 @@
           deadlineMs: Math.round(attempt.deadlineAt - now),
           bodyBytes: attempt.bodyBytes,
           isStreamed: attempt.isStreamed,
+          wasRejected: attempt.wasRejected || undefined,
           isTrial: attempt.isTrial || undefined,
         }),
         ...(attempt.isRepeatable
--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -242,6 +242,7 @@
           bodyBytes: metadata.bodyBytes,
           isStreamed,
           mayBeLate: metadata.mayBeLate,
+          wasRejected: metadata.wasRejected ?? false,
           isTrial: metadata.isTrial ?? false,
           rank: metadata.rank,
           objectiveAt: now + metadata.objectiveMs,
--- a/packages/proxy/src/mesh/target-table.ts
+++ b/packages/proxy/src/mesh/target-table.ts
@@ -21,7 +21,8 @@
   recordLoad(hostId: string, load: mesh.TargetLoad): void;
   /** Records an attempt of which `work` is expected, relative to the mean of its service. */
   recordAttemptStart(hostId: string, work: number): void;
-  recordAttemptEnd(hostId: string): void;
+  /** Records the end of an attempt that was opened at `openedAt`. */
+  recordAttemptEnd(hostId: string, work: number, openedAt: number): void;
   /**
    * Opens the circuit breaker of a host that did not respond to an attempt, unless it has responded
    * on another connection since `openedAt`.
@@ -173,9 +174,12 @@
       candidate.openCalls += 1;
       candidate.sentWork += work;
     },
-    recordAttemptEnd(hostId) {
-      const candidate = entries.get(hostId)?.candidate;
-      if (candidate) candidate.openCalls = Math.max(0, candidate.openCalls - 1);
+    recordAttemptEnd(hostId, work, openedAt) {
+      const entry = entries.get(hostId);
+      if (!entry) return;
+      const { candidate, loadReceivedAt } = entry;
+      candidate.openCalls = Math.max(0, candidate.openCalls - 1);
+      if (openedAt >= loadReceivedAt) candidate.sentWork = Math.max(0, candidate.sentWork - work);
     },
     recordUnreachable(hostId, openedAt) {
       const entry = entries.get(hostId);
--- a/packages/proxy/src/mesh/types.ts
+++ b/packages/proxy/src/mesh/types.ts
@@ -120,6 +120,8 @@
   rank: number;
   /** True for a late call, whose response may come after its latency objective. */
   mayBeLate: boolean;
+  /** True if the caller returns after this call was rejected. */
+  wasRejected?: boolean | undefined;
   /** True if its request is quarantined and tried once more. */
   isTrial: boolean;
   /** Monotonic times in milliseconds. */
