--- a/packages/core/test/overload-simulation.ts
+++ b/packages/core/test/overload-simulation.ts
@@ -436,19 +436,31 @@
     });
     return chosen ?? (kinds[0] as SimulatedKind);
   };
+  /** Scheduled one after another, since a short list of events is faster. */
+  const arrivalTimes: number[] = [];
   load.arrivals.forEach((count, period) => {
     for (let index = 0; index < count; index += 1) {
       const at = (period + random()) * ARRIVAL_PERIOD_MS;
-      schedule(at, () => {
-        const ingress = chooseIngress();
-        const kind = chooseKind(at);
-        const kindResult = result.byKind.get(kind.name);
-        if (kindResult) kindResult.arrived += 1;
-        if (ingress) runCall(ingress, kind, at);
-      });
+      arrivalTimes.push(at);
       result.arrived += 1;
     }
   });
+  arrivalTimes.sort((left, right) => left - right);
+  let nextArrival = 0;
+  const receiveNext = (): void => {
+    const at = arrivalTimes[nextArrival];
+    if (at === undefined) return;
+    nextArrival += 1;
+    schedule(at, () => {
+      receiveNext();
+      const ingress = chooseIngress();
+      const kind = chooseKind(at);
+      const kindResult = result.byKind.get(kind.name);
+      if (kindResult) kindResult.arrived += 1;
+      if (ingress) runCall(ingress, kind, at);
+    });
+  };
+  receiveNext();
   schedule(POLL_MS, poll);
   for (let event = events.shift(); event; event = events.shift()) {
     now = event.at;
