Mesh: one byte budget for all that is held for callers and peers, and a limit on connections

Cause: the budget of 50 MB covered bodies only while they were read. Complete bodies that their calls held, bodies at the host of the target, the first 256 KB of streamed ones in chunks, heads and delivered responses that are not read were outside it, and joining a body's blocks took its memory twice. The number of connections, and of calls pending on one, had no limit.

Change: a holding per call reserves a fixed amount for the call, its body as it arrives and its response, until the response is sent or the connection closed; likewise per attempt of a peer. The budget is 0.45 of memoryMb less 100 MB. Small holdings keep room that large ones cannot use. When it is used up, bodies that make no progress for 1 s are ended first, then those larger than the one that needs room, and otherwise the new one is refused with 503 and Retry-After. Calls that have been handed on are never ended. Large buffered bodies stay in blocks. Connections of callers are limited by memory and descriptors; idle ones close first, then those without a whole request. A connection with more than 100 pending calls is closed.

--- a/packages/proxy/src/connections/connection-tracker.ts
+++ b/packages/proxy/src/connections/connection-tracker.ts
@@ -23,6 +23,8 @@
   unsentBytes: number;
 }
 
+export type ConnectionState = Exclude<keyof ConnectionCounts, 'unsentBytes'>;
+
 export interface ConnectionTracker {
   /**
    * Tracks a response that will be sent. Call it when its request arrives, and not for requests that
@@ -30,6 +32,9 @@
    */
   trackResponse(response: http.ServerResponse): void;
   countConnections(): ConnectionCounts;
+  countOpen(): number;
+  /** Returns the first connection, in the order of acceptance, for which `matches` returns true. */
+  find(matches: (state: ConnectionState, socket: net.Socket) => boolean): net.Socket | undefined;
   /**
    * Stops listening and ends the idle connections. All others stay open; each ends once its last
    * tracked response has been sent. Returns the counts before.
@@ -120,12 +125,16 @@
   // The idle time-out of a kept connection; Node.js destroys the socket if there is no listener.
   server.on('timeout', endAfterUnsentBytes);
 
+  const getState = (socket: net.Socket, connection: Connection): ConnectionState => {
+    if (connection.pendingResponses.size > 0 || socket.writableLength > 0) return 'pending';
+    if (socket.writableEnded) return 'ending';
+    return isIdle(socket, connection) ? 'idle' : 'receiving';
+  };
+
   const countConnections = (): ConnectionCounts => {
     const counts = { idle: 0, pending: 0, receiving: 0, ending: 0, unsentBytes: 0 };
     connections.forEach((connection, socket) => {
-      if (connection.pendingResponses.size > 0 || socket.writableLength > 0) counts.pending += 1;
-      else if (socket.writableEnded) counts.ending += 1;
-      else counts[isIdle(socket, connection) ? 'idle' : 'receiving'] += 1;
+      counts[getState(socket, connection)] += 1;
       counts.unsentBytes += socket.writableLength;
     });
     return counts;
@@ -151,6 +160,11 @@
       });
     },
     countConnections,
+    countOpen: () => connections.size,
+    find: (matches) =>
+      [...connections].find(([socket, connection]) =>
+        matches(getState(socket, connection), socket),
+      )?.[0],
     close() {
       const counts = countConnections();
       isClosed = true;
--- a/packages/proxy/src/mesh/auxiliary-servers.ts
+++ b/packages/proxy/src/mesh/auxiliary-servers.ts
@@ -1,6 +1,7 @@
 /** HTTP servers outside the call path: readiness, and announcements of the target. */
 import * as http from 'node:http';
 import type * as mesh from '@figshed/core/mesh';
+import type * as byteBudgets from '../byte-budget.js';
 import * as bodyReader from './body-reader.js';
 import * as constants from './constants.js';
 import type * as context from './context.js';
@@ -72,7 +73,7 @@
   ctx: context.MeshContext,
   announcementParser: types.AnnouncementParser,
   target: localTarget.LocalTarget,
-  byteBudget: bodyReader.ByteBudget,
+  byteBudget: byteBudgets.ByteBudget,
 ): AuxiliaryServer {
   const { log, metrics, settings } = ctx;
   const expectedAddress = `${settings.target.address}:${settings.target.port}`;
@@ -101,9 +102,12 @@
   };
 
   return createAuxiliaryServer(settings.announcements, (request, response) => {
+    const holding = byteBudget.open(MAX_ANNOUNCEMENT_BYTES);
     bodyReader
-      .readBody(request, byteBudget, MAX_ANNOUNCEMENT_BYTES)
-      .then((body) => {
+      .readBlocks(request, holding, MAX_ANNOUNCEMENT_BYTES)
+      .then((collector) => {
+        const body = collector.concat();
+        holding.release();
         const path = (request.url ?? '').split('?')[0] ?? '';
         const message = announcementParser.parse(request.method ?? '', path, body.toString());
         const handler = handlers[message.type] as (message: types.TargetMessage) => {
--- a/packages/proxy/src/mesh/call-attempts.ts
+++ b/packages/proxy/src/mesh/call-attempts.ts
@@ -2,7 +2,7 @@
 import * as runtime from '@figshed/runtime';
 import type * as upstreamResponse from './upstream-response.js';
 import * as bodyFraming from './body-framing.js';
-import type * as bodyReader from './body-reader.js';
+import type * as byteBudgets from '../byte-budget.js';
 import * as chunkRate from './chunk-rate.js';
 import * as constants from './constants.js';
 import type * as types from './types.js';
@@ -97,7 +97,7 @@
  */
 export function bufferResponse(
   upstream: upstreamResponse.UpstreamResponse,
-  byteBudget: bodyReader.ByteBudget,
+  byteBudget: byteBudgets.ByteBudget,
   handler: BufferHandler,
 ): void {
   const { status, headers, message } = upstream;
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -1,7 +1,7 @@
 /** Performs the effects of the call state machine: sends attempts, sets timers and writes responses. */
 import * as mesh from '@figshed/core/mesh';
 import type * as upstreamResponse from './upstream-response.js';
-import type * as bodyReader from './body-reader.js';
+import type * as byteBudgets from '../byte-budget.js';
 import * as callAttempts from './call-attempts.js';
 import type * as calls from './call.js';
 import * as callGuards from './call-guard.js';
@@ -30,7 +30,7 @@
   target: localTarget.LocalTarget;
   peers: peerClient.PeerClient;
   quarantine: requestQuarantine.RequestQuarantine;
-  byteBudget: bodyReader.ByteBudget;
+  byteBudget: byteBudgets.ByteBudget;
   /** Returns the number of processes that share the retry budget. */
   countProcesses: () => number;
 }
@@ -200,7 +200,7 @@
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- a disconnect cancels attempts
         if (!responder.isConnected()) handleDisconnect();
         if (!attempts.has(attemptNumber) || isBodyConsumed) return undefined;
-        isBodyConsumed = !Buffer.isBuffer(call.body);
+        isBodyConsumed = requestBodies.isStreamed(call.body);
         return call.body;
       },
       onHostResponded: () => targets.recordResponse(hostId),
@@ -301,7 +301,7 @@
         headers: call.headers,
         isRepeatable: route.isRepeatable,
         bodyBytes: requestBodies.measureBody(call.body),
-        isStreamed: !Buffer.isBuffer(call.body),
+        isStreamed: requestBodies.isStreamed(call.body),
         mayBeLate,
         isTrial: verdict.isTrial,
         rank: call.isNested ? NESTED_CALL_RANK : (call.account?.rank ?? route.rank),
--- a/packages/proxy/src/mesh/caller-connections.ts
+++ b/packages/proxy/src/mesh/caller-connections.ts
@@ -2,6 +2,7 @@
 import type * as http from 'node:http';
 import type * as net from 'node:net';
 import * as connectionTracker from '../connections/connection-tracker.js';
+import * as callerLimits from './caller-limits.js';
 import * as connectionLogs from './connection-log.js';
 import type * as context from './context.js';
 
@@ -11,6 +12,9 @@
    * is ignored. `handleDisconnect` is called if the connection closes before the response is sent.
    */
   tryAddCall(response: http.ServerResponse, handleDisconnect: () => void): boolean;
+  /** Records that a call has been handed on, so that its connection is not closed for others. */
+  markStarted(response: http.ServerResponse): void;
+  hasOtherCalls(response: http.ServerResponse): boolean;
   /**
    * Formats `Connection: close` for the response that ends its connection: while draining, one with no
    * other call pending; after `close`, the last of the pending ones, since no further pipelined calls
@@ -37,6 +41,8 @@
 interface Connection {
   /** In the order of the calls, each with the handler for a disconnect of the caller. */
   pendingResponses: Map<http.ServerResponse, () => void>;
+  /** True once a call has been handed on and its response is not written. */
+  hasStarted: boolean;
   /** True once a response with `Connection: close` has been written. */
   isClosing: boolean;
   /** True once bytes have arrived that are no request, or a head that took too long. */
@@ -53,6 +59,8 @@
   ctx: context.MeshContext,
   server: http.Server,
 ): CallerConnections {
+  const maxConnections = callerLimits.computeMaxConnections(ctx.settings);
+  const recordLimit = callerLimits.createLimitLog(ctx);
   const connectionLog = connectionLogs.createConnectionLog(ctx, 'callers', ({ headers }) =>
     headers[ctx.protocol.callIdHeader]?.toString(),
   );
@@ -67,6 +75,7 @@
     if (existing) return existing;
     const connection: Connection = {
       pendingResponses: new Map(),
+      hasStarted: false,
       isClosing: false,
       hasInvalidRequest: false,
     };
@@ -81,17 +90,46 @@
     return connection;
   };
 
+  /** Returns whether a connection waits for the body of its only call. */
+  const isReceivingBody = (socket: net.Socket): boolean => {
+    const connection = connections.get(socket);
+    return connection?.pendingResponses.size === 1 && !connection.hasStarted;
+  };
+
+  server.on('connection', (socket: net.Socket) => {
+    if (tracker.countOpen() <= maxConnections) return;
+    // Only a connection whose calls have been handed on is worth more than a new one.
+    const closed =
+      tracker.find((state) => state === 'ending' || state === 'idle') ??
+      tracker.find(
+        (state, other) => other !== socket && (state === 'receiving' || isReceivingBody(other)),
+      ) ??
+      socket;
+    recordLimit('connection-closed', 'caller-connections', {
+      open: tracker.countOpen(),
+      limit: maxConnections,
+    });
+    closed.destroy();
+  });
+
   return {
     tryAddCall(response, handleDisconnect) {
       const { socket } = response.req;
       const connection = getConnection(socket);
       const { pendingResponses } = connection;
       if (connection.isClosing || (isClosed && pendingResponses.size > 0)) return false;
+      if (socket.destroyed) return false;
+      if (pendingResponses.size >= ctx.settings.maxPendingCalls) {
+        recordLimit('connection-closed', 'pending-calls', { pending: pendingResponses.size });
+        socket.destroy();
+        return false;
+      }
       openCalls += 1;
       pendingResponses.set(response, handleDisconnect);
       tracker.trackResponse(response);
       const removeCall = (): void => {
         if (pendingResponses.delete(response)) openCalls -= 1;
+        if (pendingResponses.size === 0) connection.hasStarted = false;
         if (connection.hasInvalidRequest && pendingResponses.size === 0) socket.destroySoon();
       };
       response.once('finish', removeCall);
@@ -101,6 +139,10 @@
       });
       return true;
     },
+    markStarted(response) {
+      getConnection(response.req.socket).hasStarted = true;
+    },
+    hasOtherCalls: (response) => getConnection(response.req.socket).pendingResponses.size > 1,
     formatConnectionClose(response) {
       const connection = getConnection(response.req.socket);
       const { pendingResponses } = connection;
--- a/packages/proxy/src/mesh/caller-server.ts
+++ b/packages/proxy/src/mesh/caller-server.ts
@@ -3,10 +3,12 @@
 import type * as mesh from '@figshed/core/mesh';
 import * as writableHeads from '../writable-heads.js';
 import * as upstreamResponse from './upstream-response.js';
+import type * as byteBudgets from '../byte-budget.js';
 import * as bodyReader from './body-reader.js';
 import type * as calls from './call.js';
 import type * as callerAdmissions from './caller-admission.js';
 import * as callGuards from './call-guard.js';
+import * as callerLimits from './caller-limits.js';
 import * as callerConnections from './caller-connections.js';
 import type * as callRunner from './call-runner.js';
 import * as constants from './constants.js';
@@ -45,7 +47,7 @@
   runner: callRunner.CallRunner;
   /** Returns whether the target on this host made the call as part of another one it is running. */
   isNested: (callId: string) => boolean;
-  byteBudget: bodyReader.ByteBudget;
+  byteBudget: byteBudgets.ByteBudget;
 }
 
 /** Fixed when the server is created; `maxHeaderBytes` of the configuration is not applied. */
@@ -53,6 +55,8 @@
 /** Added to the idle time-out, so that a request in transit does not reach a closed connection. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 const MS_PER_SECOND = 1_000;
+/** Least time until a call that was refused for lack of memory may be repeated; twice that at most. */
+const MEMORY_RETRY_MS = 500;
 /** A call on a route that may exist is rejected as not run. */
 const statusByVerdict: Record<mesh.UnknownRouteVerdict['type'], number> = {
   absent: constants.HTTP.notFound,
@@ -76,6 +80,7 @@
   });
   server.on('connection', linkUsage.createTracker('callers'));
   const connections = callerConnections.createCallerConnections(ctx, server);
+  const recordLimit = callerLimits.createLimitLog(ctx);
   const droppedHeaders = new Set([
     protocol.deadlineHeader,
     protocol.expectedInstanceHeader,
@@ -89,7 +94,7 @@
   ]);
   let isClosed = false;
   let respondBefore = Number.POSITIVE_INFINITY;
-  let maxBodyBytes = constants.MAX_BUFFERED_BYTES;
+  let maxBodyBytes = Number.POSITIVE_INFINITY;
 
   const sendEmptyResponse = (
     response: http.ServerResponse,
@@ -114,9 +119,24 @@
     else if (!response.writableEnded) response.destroy();
   };
 
-  const createResponder = (callId: string, response: http.ServerResponse): calls.CallResponder => ({
+  const createResponder = (
+    callId: string,
+    response: http.ServerResponse,
+    holding: byteBudgets.Holding,
+  ): calls.CallResponder => ({
     deliver(buffered) {
       if (response.destroyed) return;
+      // Kept until the caller has read it; one that does not read is ended if the memory is needed.
+      holding.charge(buffered.body.length);
+      const { socket } = response.req;
+      holding.setEnd(
+        () => {
+          recordLimit('connection-closed', 'unread-response', { call: callId });
+          response.destroy();
+          holding.release();
+        },
+        () => socket.bytesWritten - socket.writableLength,
+      );
       response.writeHead(buffered.status, [
         ...buffered.headers,
         ...connections.formatConnectionClose(response),
@@ -126,6 +146,7 @@
       requestBodies.endAfterBody(response.req, response);
     },
     stream(upstream, receivedChunks) {
+      holding.charge(constants.STREAMED_BODY_BYTES);
       upstreamResponse.streamResponse(upstream, response, {
         headers: connections.formatConnectionClose(response),
         receivedChunks,
@@ -145,7 +166,6 @@
 
   const statusByBodyError = new Map<unknown, number>([
     [errors.BodyTooLargeError, constants.HTTP.payloadTooLarge],
-    [errors.ByteBudgetExceededError, constants.HTTP.unavailable],
   ]);
 
   const statusByParseError = new Map<string | undefined, number>([
@@ -220,14 +240,42 @@
     request.on('error', () => undefined);
     response.on('error', () => undefined);
     bodyReader.drainAfterResponse(request, response);
+    const holding = byteBudget.open(
+      constants.CALL_BYTES + requestBodies.estimateBodyBytes(request),
+    );
     let handleDisconnect = (): void => undefined;
-    if (!connections.tryAddCall(response, () => handleDisconnect())) {
+    const releaseCall = (): void => {
+      handleDisconnect();
+      holding.release();
+    };
+    if (!connections.tryAddCall(response, releaseCall)) {
       // The connection closes after an earlier response; the caller can repeat this call on another.
       request.resume();
       return;
     }
 
+    response.once('close', holding.release);
+
     const callId = request.headers[protocol.callIdHeader];
+    const refuseForMemory = (): void => {
+      recordLimit('call-refused', 'held-memory', {
+        call: formatCallId(callId),
+        status: constants.HTTP.unavailable,
+        heldBytes: byteBudget.getUsedBytes(),
+      });
+      // Behind other responses, this one and its head would stay in memory.
+      if (connections.hasOtherCalls(response)) socket.destroy();
+      else
+        sendEmptyResponse(
+          response,
+          constants.HTTP.unavailable,
+          MEMORY_RETRY_MS * (1 + ctx.random()),
+        );
+    };
+    if (!holding.reserve(constants.CALL_BYTES)) {
+      refuseForMemory();
+      return;
+    }
     const finding = writableHeads.findUnwritableRequest(request);
     if (finding !== undefined) {
       const status = constants.HTTP.badRequest;
@@ -263,6 +311,7 @@
         rejectAfterClose();
         return;
       }
+      connections.markStarted(response);
       handleDisconnect = runner.run(
         {
           callId,
@@ -285,19 +334,23 @@
           receivedAt,
           deadlineAt: Math.min(receivedAt + readDeadlineMs(request), respondBefore),
         },
-        createResponder(callId, response),
+        createResponder(callId, response, holding),
       );
       if (socket.destroyed) handleDisconnect();
     };
     const receiveCall = (account: mesh.ClientAccount | undefined): void => {
       requestBodies
-        .receiveBody(request, byteBudget, {
+        .receiveBody(request, holding, {
           mayStream: !route.isRepeatable,
           maxBytes: maxBodyBytes,
         })
         .then(guard.wrap((body: requestBodies.RequestBody) => runCall(account, body)))
         .catch(
           guard.wrap((error: Error) => {
+            if (error instanceof errors.ByteBudgetExceededError) {
+              refuseForMemory();
+              return;
+            }
             const status = statusByBodyError.get(error.constructor);
             log.info('call-refused', { call: callId, status, message: error.message });
             if (status !== undefined) sendEmptyResponse(response, status);
--- a/packages/proxy/src/mesh/constants.ts
+++ b/packages/proxy/src/mesh/constants.ts
@@ -43,8 +43,26 @@
 export const MAX_DRAINED_BYTES = 1_048_576;
 /** Longest pause of the sender of a streamed body, and longest time to drain an unread one. */
 export const BODY_STALL_TIMEOUT_MS = 2_000;
-/** Bytes of bodies and responses being buffered at once; a fifth of the smallest host's memory. */
-export const MAX_BUFFERED_BYTES = 50_331_648;
+/**
+ * Memory reserved for a call besides its body: a head of up to 16 KB as received, and as written. Of
+ * the smallest host's budget, it admits about 2,000 calls at once.
+ */
+export const CALL_BYTES = 32_768;
+/** Memory reserved for a streamed body: what one read and the buffers of both sockets hold. */
+export const STREAMED_BODY_BYTES = 131_072;
+/** Memory of a process without calls, with the room that the garbage collector needs. */
+export const BASE_MEMORY_BYTES = 100_000_000;
+/** Part of the remaining memory that may be held for callers and peers; the rest is for garbage. */
+export const HELD_MEMORY_SHARE = 0.45;
+/**
+ * Shares of the byte budget. The large bodies leave room for small ones, and these for calls without
+ * one. On the smallest host, one body of 50 MB fits the share of the large ones.
+ */
+export const BUDGET_TIERS = [
+  { maxBytes: 2 * CALL_BYTES, share: 1 },
+  { maxBytes: CALL_BYTES + MAX_BUFFERED_REQUEST_BYTES, share: 0.875 },
+  { maxBytes: Number.POSITIVE_INFINITY, share: 0.75 },
+] as const;
 export const PEER_CLIENT_IDLE_TIMEOUT_MS = 20_000;
 /**
  * Idle time-out of the servers for peers and announcements; above that of the peer client, so that
--- a/packages/proxy/src/mesh/peer-responder.ts
+++ b/packages/proxy/src/mesh/peer-responder.ts
@@ -1,7 +1,7 @@
 /** Writes the responses to the attempts of peers, at the pace of the link. */
 import type * as http from 'node:http';
 import type * as mesh from '@figshed/core/mesh';
-import type * as bodyReader from './body-reader.js';
+import type * as byteBudgets from '../byte-budget.js';
 import * as callAttempts from './call-attempts.js';
 import type * as callGuards from './call-guard.js';
 import * as constants from './constants.js';
@@ -31,7 +31,7 @@
   ctx: Pick<context.MeshContext, 'clock'>;
   pacer: mesh.LinkPacer;
   responses: pacedResponses.PacedResponses;
-  byteBudget: bodyReader.ByteBudget;
+  byteBudget: byteBudgets.ByteBudget;
   /** Formats the load report that each response carries. */
   formatLoad: () => string[];
 }
--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -4,8 +4,10 @@
 import * as mesh from '@figshed/core/mesh';
 import * as connectionTracker from '../connections/connection-tracker.js';
 import * as bodyFraming from './body-framing.js';
+import type * as byteBudgets from '../byte-budget.js';
 import * as bodyReader from './body-reader.js';
 import * as callGuards from './call-guard.js';
+import * as callerLimits from './caller-limits.js';
 import * as configurationFetcher from './configuration-fetcher.js';
 import type * as configurationSender from './configuration-sender.js';
 import * as connectionLogs from './connection-log.js';
@@ -36,7 +38,7 @@
   configurationSender: configurationSender.ConfigurationSender;
   linkUsage: linkUsages.LinkUsage;
   isStopping: () => boolean;
-  byteBudget: bodyReader.ByteBudget;
+  byteBudget: byteBudgets.ByteBudget;
 }
 
 function hasBody({ headers }: http.IncomingMessage): boolean {
@@ -87,6 +89,7 @@
     linkMbps: settings.linkMbps,
   });
 
+  const recordLimit = callerLimits.createLimitLog(ctx);
   /** Sockets whose connection closes; requests on them are ignored. */
   const rejectedSockets = new WeakSet<net.Socket>();
   let openAttempts = 0;
@@ -170,13 +173,30 @@
     });
     bodyReader.drainAfterResponse(request, response);
     const now = clock.monotonic();
-    const readWholeBody = async (): Promise<Buffer> => {
+    const holding = byteBudget.open(
+      constants.CALL_BYTES + (metadata.bodyBytes ?? constants.MIN_STREAMED_BYTES),
+    );
+    response.once('close', holding.release);
+    const readWholeBody = async (): Promise<requestBodies.RequestBody> => {
       const { bodyBytes: statedBytes } = metadata;
-      const body = await bodyReader.readBody(request, byteBudget, statedBytes);
-      if (statedBytes !== undefined && body.length < statedBytes)
+      const collector = await bodyReader.readBlocks(request, holding, statedBytes);
+      if (statedBytes !== undefined && collector.getSizeBytes() < statedBytes)
         throw new errors.IncompleteBodyError();
-      return body;
+      return requestBodies.formatBody(collector);
     };
+    if (!holding.reserve(constants.CALL_BYTES)) {
+      recordLimit('call-refused', 'held-memory', {
+        call: metadata.callId,
+        heldBytes: byteBudget.getUsedBytes(),
+      });
+      bodyReader.drainBody(request);
+      responder.sendEmpty(
+        response,
+        constants.HTTP.unavailable,
+        meshHeaders.formatRefusal('unreachable', 0),
+      );
+      return;
+    }
     const earlyBody = isExpectingContinue ? undefined : readWholeBody();
     earlyBody?.catch(() => undefined);
     const acknowledgementTimer = setTimeout(() => {
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -1,11 +1,10 @@
 import * as timers from 'node:timers/promises';
 import * as core from '@figshed/core';
 import * as mesh from '@figshed/core/mesh';
-import * as bodyReader from './body-reader.js';
 import * as callerAdmission from './caller-admission.js';
 import * as callRunner from './call-runner.js';
+import * as callerLimits from './caller-limits.js';
 import * as callerServer from './caller-server.js';
-import * as constants from './constants.js';
 import * as configurationSender from './configuration-sender.js';
 import * as configurationTask from './configuration-task.js';
 import type * as context from './context.js';
@@ -56,7 +55,7 @@
   adapter: types.PlatformAdapter,
 ): MeshProcess {
   const { settings, clock, log, metrics } = ctx;
-  const byteBudget = bodyReader.createByteBudget(constants.MAX_BUFFERED_BYTES);
+  const byteBudget = callerLimits.createHeldMemoryBudget(settings);
   let routes: mesh.RouteTable | undefined;
   let isStopping = false;
   let stopped: Promise<void> | undefined;
--- a/packages/proxy/src/mesh/request-body.ts
+++ b/packages/proxy/src/mesh/request-body.ts
@@ -6,6 +6,7 @@
 import type * as http from 'node:http';
 import type * as stream from 'node:stream';
 import * as runtime from '@figshed/runtime';
+import type * as byteBudgets from '../byte-budget.js';
 import * as blockPipe from './block-pipe.js';
 import * as bodyReader from './body-reader.js';
 import * as chunkRate from './chunk-rate.js';
@@ -19,7 +20,36 @@
   maxBytes: number;
 }
 
-export type RequestBody = Buffer | StreamedBody;
+/** A large body in the blocks in which it arrived; joining them would take its memory twice. */
+export interface BufferedBlocks {
+  blocks: readonly Buffer[];
+  lengthBytes: number;
+}
+
+export type RequestBody = Buffer | BufferedBlocks | StreamedBody;
+
+/**
+ * Returns whether a body is streamed and so can be sent only once.
+ *
+ * @example
+ * isStreamed(Buffer.from('ab')); // false
+ */
+export function isStreamed(body: RequestBody): body is StreamedBody {
+  return 'source' in body;
+}
+
+/**
+ * Converts a collected body.
+ *
+ * @example
+ * const body = formatBody(await bodyReader.readBlocks(request, holding));
+ */
+export function formatBody(collector: runtime.ByteCollector): RequestBody {
+  const lengthBytes = collector.getSizeBytes();
+  return lengthBytes <= constants.MAX_BUFFERED_REQUEST_BYTES
+    ? collector.concat()
+    : { blocks: collector.listBlocks(), lengthBytes };
+}
 
 /**
  * Returns the size of a body in bytes; undefined for a streamed one without a stated length.
@@ -31,34 +61,41 @@
   return Buffer.isBuffer(body) ? body.length : body.lengthBytes;
 }
 
-/** Buffers a body without a stated length, or streams it once it is too large. */
+/**
+ * Buffers a body without a stated length, or streams it once it is too large. What has been read stays
+ * reserved in `holding`.
+ */
 function receiveChunkedBody(
   source: http.IncomingMessage,
-  byteBudget: bodyReader.ByteBudget,
+  holding: byteBudgets.Holding,
   maxBytes: number,
 ): Promise<RequestBody> {
   return new Promise((resolve, reject) => {
     const collector = runtime.createByteCollector();
-    let sizeBytes = 0;
-    let reservedBytes = 0;
     const stopLimit = chunkRate.pauseTinyChunks(source);
     const finish = (): void => {
       stopLimit();
-      byteBudget.release(reservedBytes);
+      holding.setEnd(undefined);
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- listeners remove one another
       source.off('data', handleData).off('end', handleEnd).off('close', handleClose);
     };
+    const fail = (error: Error): void => {
+      finish();
+      holding.release();
+      reject(error);
+    };
     const handleData = (chunk: Buffer): void => {
+      if (!holding.reserve(chunk.length)) {
+        fail(new errors.ByteBudgetExceededError());
+        return;
+      }
       collector.append(chunk);
-      sizeBytes += chunk.length;
-      const isReserved = byteBudget.reserve(chunk.length);
-      if (isReserved) reservedBytes += chunk.length;
+      const sizeBytes = collector.getSizeBytes();
       if (sizeBytes > maxBytes) {
-        finish();
-        reject(new errors.BodyTooLargeError(maxBytes));
+        fail(new errors.BodyTooLargeError(maxBytes));
         return;
       }
-      if (isReserved && sizeBytes <= constants.MAX_BUFFERED_REQUEST_BYTES) return;
+      if (sizeBytes <= constants.MAX_BUFFERED_REQUEST_BYTES) return;
       finish();
       source.pause();
       source.unshift(collector.concat());
@@ -68,38 +105,50 @@
       finish();
       resolve(collector.concat());
     };
-    const handleClose = (): void => {
-      finish();
-      reject(new errors.IncompleteBodyError());
-    };
+    const handleClose = (): void => fail(new errors.IncompleteBodyError());
+    holding.setEnd(() => fail(new errors.ByteBudgetExceededError()));
     source.on('data', handleData).once('end', handleEnd).once('close', handleClose);
   });
 }
 
+/** Returns the stated length of a body; undefined for one in chunks. */
+function readStatedLength({ headers }: http.IncomingMessage): number | undefined {
+  const statedLength = headers['content-length'];
+  if (statedLength !== undefined) return Number(statedLength);
+  return headers['transfer-encoding'] === undefined ? 0 : undefined;
+}
+
+/**
+ * Estimates the memory that the body of a request will take, before it is read.
+ *
+ * @example
+ * const holding = byteBudget.open(estimateBodyBytes(request));
+ */
+export function estimateBodyBytes(request: http.IncomingMessage): number {
+  return readStatedLength(request) ?? constants.MAX_BUFFERED_REQUEST_BYTES;
+}
+
 /**
- * Receives the body of a call; only that of a call that is not repeatable may be streamed.
+ * Receives the body of a call; only that of a call that is not repeatable may be streamed. Its memory
+ * stays reserved in `holding`.
  *
- * @throws BodyTooLargeError, ByteBudgetExceededError and IncompleteBodyError, as `readBody` does.
+ * @throws BodyTooLargeError, ByteBudgetExceededError and IncompleteBodyError, as `readBlocks` does.
  * @example
- * const body = await receiveBody(request, byteBudget, { mayStream: true, maxBytes: 10_000_000 });
+ * const body = await receiveBody(request, holding, { mayStream: true, maxBytes: 10_000_000 });
  */
 export async function receiveBody(
   source: http.IncomingMessage,
-  byteBudget: bodyReader.ByteBudget,
+  holding: byteBudgets.Holding,
   { mayStream, maxBytes }: { mayStream: boolean; maxBytes: number },
 ): Promise<RequestBody> {
-  const statedLength = source.headers['content-length'];
-  const lengthBytes = statedLength === undefined ? undefined : Number(statedLength);
-  if (mayStream && lengthBytes === undefined && source.headers['transfer-encoding'] !== undefined)
-    return receiveChunkedBody(source, byteBudget, maxBytes);
+  const lengthBytes = readStatedLength(source);
+  if (lengthBytes !== undefined && lengthBytes > maxBytes)
+    throw new errors.BodyTooLargeError(maxBytes);
+  if (mayStream && lengthBytes === undefined) return receiveChunkedBody(source, holding, maxBytes);
   const isLarge = lengthBytes !== undefined && lengthBytes > constants.MAX_BUFFERED_REQUEST_BYTES;
   if (!mayStream || !isLarge)
-    return bodyReader.readBody(
-      source,
-      byteBudget,
-      Math.min(maxBytes, constants.MAX_BUFFERED_BYTES),
-    );
-  if (lengthBytes > maxBytes) throw new errors.BodyTooLargeError(maxBytes);
+    return formatBody(await bodyReader.readBlocks(source, holding, maxBytes));
+  if (!holding.reserve(constants.STREAMED_BODY_BYTES)) throw new errors.ByteBudgetExceededError();
   return { source, lengthBytes, maxBytes };
 }
 
@@ -167,6 +216,12 @@
     request.end(body);
     return;
   }
+  if (!isStreamed(body)) {
+    // The socket refers to the blocks and does not copy them.
+    body.blocks.forEach((block) => request.write(block));
+    request.end();
+    return;
+  }
   request.once('response', (message) => {
     message.once('end', () => {
       if (!request.writableFinished) request.destroy();
--- a/packages/proxy/src/mesh/request-fingerprint.ts
+++ b/packages/proxy/src/mesh/request-fingerprint.ts
@@ -36,8 +36,9 @@
   const hash = crypto.createHash('sha1');
   const host = getHeader(headers, 'host').toLowerCase();
   hash.update([service, method, host, path, callerService, ''].join(SEPARATOR));
-  hash.update(
-    Buffer.isBuffer(body) ? body : `streamed ${requestBodies.measureBody(body) ?? 'in chunks'}`,
-  );
+  if (Buffer.isBuffer(body)) hash.update(body);
+  else if (requestBodies.isStreamed(body))
+    hash.update(`streamed ${body.lengthBytes ?? 'in chunks'}`);
+  else body.blocks.forEach((block) => hash.update(block));
   return hash.digest().subarray(0, FINGERPRINT_BYTES).toString('base64url');
 }
