Proxy: bound the bytes of requests held at once on the product's own call path

Cause: as in the mesh, each body had a limit and all of them together had none, at the server for callers and at the one for attempts.

Change: both read bodies within a budget (routing.maxHeldBytes, 64 MiB for callers and as much for peers) until the response is sent. Stalled and larger bodies give way to one that needs room; otherwise the new one is refused as not run (503 NO_ROOM with Retry-After; to a peer, not-run with the reason no-room). The call of egress-http in egress-disconnect.test.ts has the new parameter.

--- a/packages/proxy/src/egress/egress-http.ts
+++ b/packages/proxy/src/egress/egress-http.ts
@@ -1,8 +1,9 @@
 /** Receives attempts from other proxies over HTTP and runs them at the target of this host. */
 import type * as http from 'node:http';
-import * as runtime from '@figshed/runtime';
+import type * as byteBudgets from '../byte-budget.js';
 import * as codec from '../calls/attempt-codec.js';
 import * as headers from '../calls/headers.js';
+import * as heldBody from '../calls/held-body.js';
 import type * as types from '../calls/types.js';
 import type * as context from '../context.js';
 import * as eventLoop from '../event-loop.js';
@@ -13,19 +14,6 @@
 const HTTP_UNAVAILABLE = 503;
 const HTTP_BAD_GATEWAY = 502;
 
-function readBody(
-  request: http.IncomingMessage,
-  maxBytes: number,
-  onBody: (body: Buffer | undefined) => void,
-): void {
-  const body = runtime.createByteCollector();
-  request.on('data', (chunk: Buffer) => {
-    body.append(chunk);
-    if (body.getSizeBytes() > maxBytes) request.destroy();
-  });
-  request.on('end', () => onBody(body.getSizeBytes() > 0 ? body.concat() : undefined));
-}
-
 function createResponder(
   attemptId: string,
   response: http.ServerResponse,
@@ -84,20 +72,21 @@
 
 /**
  * Handles one attempt from another proxy. Responds with 400 when its headers are not valid, and
- * closes the connection when the body is longer than `maxBodyBytes`.
+ * closes the connection when the body is longer than `maxBodyBytes`; refuses it as not run when there is
+ * no room for it.
  *
  * @example
- * http.createServer((request, response) => handleAttempt(ctx, egress, request, response));
+ * http.createServer((request, response) => handleAttempt(ctx, { egress, byteBudget }, request, response));
  */
 export function handleAttempt(
   ctx: context.Context,
-  egress: targetEgress.Egress,
+  { egress, byteBudget }: { egress: targetEgress.Egress; byteBudget: byteBudgets.ByteBudget },
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): void {
   request.on('error', () => response.destroy());
   response.on('error', () => undefined);
-  readBody(request, ctx.settings.routing.maxBodyBytes, (body) => {
+  const startAttempt = (body: Buffer | undefined): void => {
     const attempt = codec.parseAttemptHeaders(
       request.method ?? 'GET',
       request.url ?? '/',
@@ -121,5 +110,17 @@
       .waitForSocketPoll()
       .then(startUnlessDisconnected)
       .catch((error: unknown) => ctx.reportError('attempt-start', error));
-  });
+  };
+  const refuseBody = (): void => {
+    if (response.destroyed) return;
+    response.setHeader('connection', 'close');
+    const attemptId = String(request.headers[names.attempt] ?? '');
+    createResponder(attemptId, response).onFailure({ outcome: 'not-run', reason: 'no-room' });
+  };
+  heldBody.readHeldBody(
+    request,
+    response,
+    { byteBudget, maxBytes: ctx.settings.routing.maxBodyBytes },
+    { onBody: startAttempt, onTooLarge: () => request.destroy(), onNoRoom: refuseBody },
+  );
 }
--- a/packages/proxy/src/egress/peer-http-server.ts
+++ b/packages/proxy/src/egress/peer-http-server.ts
@@ -1,5 +1,6 @@
 /** HTTP server for other processes: JSON-RPC requests on `/rpc`, and attempts on all other paths. */
 import * as http from 'node:http';
+import * as byteBudgets from '../byte-budget.js';
 import * as connectionTracker from '../connections/connection-tracker.js';
 import * as drainConnections from '../connections/drain-connections.js';
 import type * as context from '../context.js';
@@ -28,6 +29,8 @@
   egress: targetEgress.Egress,
 ): PeerHttpServer {
   const { clock, log, peerServer, settings } = ctx;
+  const { maxHeldBytes } = settings.routing;
+  const byteBudget = byteBudgets.createByteBudget(maxHeldBytes, [], clock);
   let unsentCount = 0;
 
   const handleAttempt = (request: http.IncomingMessage, response: http.ServerResponse): void => {
@@ -35,7 +38,7 @@
     response.once('close', () => {
       unsentCount -= 1;
     });
-    egressHttp.handleAttempt(ctx, egress, request, response);
+    egressHttp.handleAttempt(ctx, { egress, byteBudget }, request, response);
   };
 
   const server = http.createServer({ keepAliveTimeout: KEEP_ALIVE_MS });
--- a/packages/proxy/src/ingress/caller-server.ts
+++ b/packages/proxy/src/ingress/caller-server.ts
@@ -1,9 +1,10 @@
 /** HTTP server for callers: authorizes, admits and runs their calls. */
 import * as http from 'node:http';
 import * as core from '@figshed/core';
-import * as runtime from '@figshed/runtime';
 import * as uuid from 'uuid';
+import * as byteBudgets from '../byte-budget.js';
 import * as headers from '../calls/headers.js';
+import * as heldBody from '../calls/held-body.js';
 import type * as types from '../calls/types.js';
 import * as connectionTracker from '../connections/connection-tracker.js';
 import * as drainConnections from '../connections/drain-connections.js';
@@ -23,6 +24,8 @@
 const HTTP_BAD_GATEWAY = 502;
 const HTTP_GATEWAY_TIMEOUT = 504;
 const KEEP_ALIVE_MS = 60_000;
+/** When a call that was refused for lack of memory may be repeated. */
+const NO_ROOM_RETRY_MS = 1_000;
 /** Time for written responses to reach their callers when the process stops. */
 const FLUSH_TIMEOUT_MS = 5_000;
 const FINGERPRINT_LENGTH = 16;
@@ -81,6 +84,7 @@
   dependencies: CallerServerDependencies,
 ): CallerServer {
   const { settings, clock, log, metrics, instance } = ctx;
+  const byteBudget = byteBudgets.createByteBudget(settings.routing.maxHeldBytes, [], clock);
   const gate = orderGate.createOrderGate(ctx, dependencies.orders);
   const callIdPrefix = instance.replaceAll('-', '').slice(-FINGERPRINT_LENGTH);
   let callCount = 0;
@@ -281,30 +285,37 @@
     const { maxBodyBytes } = settings.routing;
     if (isDraining) response.setHeader('connection', 'close');
     response.on('error', () => undefined);
-    let body = runtime.createByteCollector();
-    let isRefused = false;
     request.on('error', () => response.destroy());
-    request.on('data', (chunk: Buffer) => {
-      if (isRefused) return;
-      body.append(chunk);
-      if (body.getSizeBytes() <= maxBodyBytes) return;
-      isRefused = true;
-      body = runtime.createByteCollector();
+    const refuseBody = (
+      refusal: Pick<responseWriter.ErrorResponse, 'status' | 'code' | 'message' | 'retryAfterMs'>,
+    ): void => {
+      if (response.destroyed) return;
       response.setHeader('connection', 'close');
-      const writer = responseWriter.createResponseWriter(response, {
-        callId: uuid.v4(),
-        version: -1,
-      });
-      sendRefusal(writer, request.headers, {
-        status: HTTP_TOO_LARGE,
-        code: 'BODY_TOO_LARGE',
-        message: `the body is longer than ${maxBodyBytes} bytes`,
-      });
-    });
-    request.on('end', () => {
-      if (isRefused) return;
-      handleCall(request, response, body.getSizeBytes() > 0 ? body.concat() : undefined);
-    });
+      const callId = uuid.v4();
+      const writer = responseWriter.createResponseWriter(response, { callId, version: -1 });
+      sendRefusal(writer, request.headers, refusal);
+    };
+    heldBody.readHeldBody(
+      request,
+      response,
+      { byteBudget, maxBytes: maxBodyBytes },
+      {
+        onBody: (body) => handleCall(request, response, body),
+        onTooLarge: () =>
+          refuseBody({
+            status: HTTP_TOO_LARGE,
+            code: 'BODY_TOO_LARGE',
+            message: `the body is longer than ${maxBodyBytes} bytes`,
+          }),
+        onNoRoom: () =>
+          refuseBody({
+            status: HTTP_UNAVAILABLE,
+            code: 'NO_ROOM',
+            message: 'this proxy holds as many bytes of requests as it may',
+            retryAfterMs: NO_ROOM_RETRY_MS,
+          }),
+      },
+    );
   };
 
   const server = http.createServer({ keepAliveTimeout: KEEP_ALIVE_MS });
--- a/packages/proxy/src/settings/defaults.ts
+++ b/packages/proxy/src/settings/defaults.ts
@@ -10,6 +10,7 @@
   hedgeAfterMs: 500,
   maxAttempts: 4,
   maxBodyBytes: 1_000_000,
+  maxHeldBytes: 67_108_864,
   graceMs: 30_000,
   announceMs: 1_000,
   targetLeaseMs: 3_000,
--- a/packages/proxy/src/settings/schema.ts
+++ b/packages/proxy/src/settings/schema.ts
@@ -36,6 +36,7 @@
   hedgeAfterMs: durationMs.default(settingsDefaults.hedgeAfterMs),
   maxAttempts: count.default(settingsDefaults.maxAttempts),
   maxBodyBytes: count.default(settingsDefaults.maxBodyBytes),
+  maxHeldBytes: count.default(settingsDefaults.maxHeldBytes),
   queuePerSlot: count.default(settingsDefaults.queuePerSlot),
   slowStartMs: durationMs.default(settingsDefaults.targetChoice.slowStartMs),
   spillLoad: z.number().positive().default(settingsDefaults.targetChoice.spillLoad),
--- a/packages/proxy/test/egress-disconnect.test.ts
+++ b/packages/proxy/test/egress-disconnect.test.ts
@@ -5,6 +5,7 @@
 import * as timers from 'node:timers/promises';
 import type * as context from '../src/context.js';
 import type * as targetEgress from '../src/egress/egress.js';
+import * as byteBudgets from '../src/byte-budget.js';
 import * as egressHttp from '../src/egress/egress-http.js';
 import * as support from './support.js';
 
@@ -30,8 +31,9 @@
       return { cancel: () => undefined, pause: () => undefined, resume: () => undefined };
     },
   } as Partial<targetEgress.Egress> as targetEgress.Egress;
+  const byteBudget = byteBudgets.createByteBudget(1_024);
   const server = http.createServer((request, response) =>
-    egressHttp.handleAttempt(ctx, egress, request, response),
+    egressHttp.handleAttempt(ctx, { egress, byteBudget }, request, response),
   );
   await new Promise<void>((resolve) => {
     server.listen(0, SERVER_ADDRESS, resolve);
