Mesh: roll-outs of a target version, first state

Change: orders from the store, verdict by outcome counts, shares, phases in gossip and the status in the store.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -88,6 +88,8 @@
 export { isNewerRecord } from './membership/precedence.js';
 export type {
   ConfigWatermark,
+  RolloutReport,
+  RolloutStamp,
   VersionProofStamp,
   Endpoint,
   GossipMessage,
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -1,4 +1,6 @@
 import type * as quarantine from '../health/quarantine.js';
+import type * as rollout from '../mesh/rollout.js';
+import type * as rolloutState from '../mesh/rollout-state.js';
 
 /**
  * Liveness of a member. At the same incarnation, a later status in this order overrides an earlier
@@ -16,6 +18,32 @@
   id?: string | undefined;
   /** True during the slow start of the target. */
   isCold?: boolean | undefined;
+  /** Version of its program; undefined if it states none, and in deployments without roll-outs. */
+  version?: string | undefined;
+}
+
+/** What a host counts and does for a roll-out that is under way. */
+export interface RolloutReport {
+  /** Offset of the order that the counts belong to; undefined if none concerns its target. */
+  offset?: number | undefined;
+  /** Version of the counted target. */
+  version: string;
+  /** Offsets of the orders for which the host sends no more calls to the old targets. */
+  moved: number[];
+  counts: rollout.RouteCounts[];
+}
+
+/** State of a roll-out in a message; fields as in `Rollout`. */
+export interface RolloutStamp {
+  service: string;
+  targetVersion: string;
+  epoch: number;
+  offset: number;
+  durationMs: number;
+  /** Time left until the deadline when the message was sent. */
+  remainingMs: number;
+  phase: rolloutState.RolloutPhase;
+  record: rolloutState.RolloutRecord;
 }
 
 /** Requests that were in flight when a target crashed. */
@@ -44,6 +72,8 @@
   crashes?: CrashRecord[] | undefined;
   /** Requests that the member saw completed after crashes; undefined if there are none. */
   cleared?: quarantine.ClearedCrashes[] | undefined;
+  /** Undefined while no roll-out is under way. */
+  rollout?: RolloutReport | undefined;
 }
 
 /** Record of one member, disseminated by gossip. */
@@ -70,7 +100,7 @@
   ageMs: number;
 }
 
-export type GossipMessage =
+export type GossipMessage = (
   | {
       type: 'ping';
       sequence: number;
@@ -106,7 +136,11 @@
       /** Time since `mark` was confirmed as the newest, in milliseconds; null when not stated. */
       ageMs: number | null;
       members: Member[];
-    };
+    }
+) & {
+  /** Roll-outs that the sender knows; undefined if there are none. */
+  rollouts?: RolloutStamp[] | undefined;
+};
 
 /** Address of a gossip socket. */
 export interface Endpoint {
--- a/packages/core/src/mesh/call-machine.ts
+++ b/packages/core/src/mesh/call-machine.ts
@@ -81,6 +81,7 @@
   'stopping',
   'target-down',
   'wrong-instance',
+  'excluded-version',
   'unreachable',
 ]);
 
--- a/packages/core/src/mesh/index.ts
+++ b/packages/core/src/mesh/index.ts
@@ -78,6 +78,44 @@
   type RejectedCallsOptions,
 } from './rejected-calls.js';
 export { rankReaders, type ReaderCandidate } from './reader-ranking.js';
+export {
+  computeBinomialTail,
+  judgeCanary,
+  rolloutTestDefaults,
+  sumRouteCounts,
+  SLOW_FACTOR,
+  type RolloutFinding,
+  type RolloutTestOptions,
+  type RolloutVerdict,
+  type RouteCounts,
+} from './rollout.js';
+export { createOutcomeCounts, type OutcomeCounts } from './rollout-counts.js';
+export {
+  chooseCanaryHosts,
+  createCanaryShare,
+  type CanaryShare,
+  type CanaryShareOptions,
+} from './rollout-share.js';
+export {
+  chooseCurrentVersion,
+  computeDecisionTimes,
+  decidePhase,
+  getVersionRole,
+  isFinalPhase,
+  isNewerOrder,
+  mergeRollout,
+  rolloutPhases,
+  rolloutRecords,
+  rolloutTimesDefaults,
+  type Rollout,
+  type RolloutOrder,
+  type RolloutPhase,
+  type RolloutRecord,
+  type RolloutTimes,
+  type ServiceVersions,
+  type VersionRole,
+  type VersionedTarget,
+} from './rollout-state.js';
 export { compileRoutes, type RouteTable } from './routes.js';
 export {
   createSlotQueue,
--- a/packages/core/src/mesh/target-gate.ts
+++ b/packages/core/src/mesh/target-gate.ts
@@ -18,6 +18,8 @@
   state: 'ready' | 'draining';
   /** Remaining slow-start time, in milliseconds. */
   coldForMs: number;
+  /** Version of its program; undefined if it states none. */
+  version?: string | undefined;
 }
 
 /** The target that may currently receive calls. */
@@ -28,6 +30,7 @@
   bornAt: number | undefined;
   /** Monotonic time at which its slow start ends, in milliseconds. */
   coldUntil: number;
+  version?: string | undefined;
 }
 
 /**
@@ -152,9 +155,16 @@
     now < (ignoredUntil.get(incarnation.id) ?? now);
 
   const openTarget = (announcement: TargetAnnouncement, now: number): GateVerdict => {
-    const { id, bornAt, service, slots, coldForMs } = announcement;
+    const { id, bornAt, service, slots, coldForMs, version } = announcement;
     const previousTarget = target;
-    target = { id, service, slots, bornAt, coldUntil: now + coldForMs };
+    target = {
+      id,
+      service,
+      slots,
+      bornAt,
+      coldUntil: now + coldForMs,
+      ...(version === undefined ? {} : { version }),
+    };
     heldAnnouncement = undefined;
     const isSame =
       previousTarget && formatIncarnation(previousTarget) === formatIncarnation(target);
--- a/packages/core/src/mesh/types.ts
+++ b/packages/core/src/mesh/types.ts
@@ -68,6 +68,8 @@
   | 'stopping'
   | 'target-down'
   | 'wrong-instance'
+  /** The version of the target may not get the call. */
+  | 'excluded-version'
   | 'target-refused'
   | 'quarantined'
   /** The peer's request was not framed as its metadata states. */
--- a/packages/proxy/src/gossip-schemas.ts
+++ b/packages/proxy/src/gossip-schemas.ts
@@ -1,3 +1,4 @@
+import * as mesh from '@figshed/core/mesh';
 import * as z from 'zod';
 
 const MAX_PORT = 65_535;
@@ -8,6 +9,43 @@
   state: z.enum(['up', 'draining', 'down']),
   id: z.string().optional(),
   isCold: z.boolean().optional(),
+  version: z.string().optional(),
+});
+
+const countSchema = z.number().nonnegative();
+
+/** Most orders and routes in a member record, and most roll-outs in a message. */
+const MAX_MOVED_ORDERS = 32;
+const MAX_COUNTED_ROUTES = 10;
+const MAX_ROLLOUTS = 32;
+
+const rolloutReportSchema = z.object({
+  offset: countSchema.optional(),
+  version: z.string(),
+  moved: z.array(countSchema).max(MAX_MOVED_ORDERS),
+  counts: z
+    .array(
+      z.object({
+        route: z.string(),
+        responses: countSchema,
+        failures: countSchema,
+        timed: countSchema,
+        slow: countSchema,
+        usualMs: countSchema,
+      }),
+    )
+    .max(MAX_COUNTED_ROUTES),
+});
+
+const rolloutStampSchema = z.object({
+  service: z.string(),
+  targetVersion: z.string(),
+  epoch: z.number().int(),
+  offset: countSchema,
+  durationMs: countSchema,
+  remainingMs: countSchema,
+  phase: z.enum(mesh.rolloutPhases),
+  record: z.enum(mesh.rolloutRecords),
 });
 
 /**
@@ -47,6 +85,7 @@
     linkMbps: z.number().positive().optional(),
     crashes: z.array(crashSchema).max(MAX_CRASH_RECORDS).optional(),
     cleared: z.array(clearedSchema).max(MAX_CLEARED_REQUESTS).optional(),
+    rollout: rolloutReportSchema.optional(),
   }),
 });
 
@@ -63,6 +102,7 @@
   from: z.string(),
   mark: configWatermarkSchema,
   members: z.array(memberSchema),
+  rollouts: z.array(rolloutStampSchema).max(MAX_ROLLOUTS).optional(),
 };
 
 /** Schema of a gossip message received from another process. */
--- a/packages/proxy/src/mesh/call-runner.ts
+++ b/packages/proxy/src/mesh/call-runner.ts
@@ -12,6 +12,7 @@
 import type * as peerClient from './peer-client.js';
 import type * as localTarget from './local-target.js';
 import type * as requestQuarantine from './request-quarantine.js';
+import type * as rolloutTask from './rollout-task.js';
 import * as serviceRetryBudgets from './service-retry-budgets.js';
 import type * as targetTable from './target-table.js';
 import * as requestBodies from './request-body.js';
@@ -30,6 +31,7 @@
   target: localTarget.LocalTarget;
   peers: peerClient.PeerClient;
   quarantine: requestQuarantine.RequestQuarantine;
+  rollouts: Pick<rolloutTask.RolloutTask, 'startCall'>;
   byteBudget: bodyReader.ByteBudget;
   /** Returns the number of processes that share the retry budget. */
   countProcesses: () => number;
@@ -53,7 +55,7 @@
  * const handleDisconnect = createCallRunner(input).run(call, responder);
  */
 export function createCallRunner(input: CallRunnerInput): CallRunner {
-  const { ctx, targets, target, peers, quarantine, byteBudget, countProcesses } = input;
+  const { ctx, targets, target, peers, quarantine, rollouts, byteBudget, countProcesses } = input;
   const { settings, clock, metrics } = ctx;
   const splitter = mesh.createTrafficSplitter(ctx.random);
   const retryBudgets = serviceRetryBudgets.createServiceRetryBudgets(settings, countProcesses);
@@ -69,6 +71,7 @@
     const service = splitter.chooseService(route);
     const retryBudget = retryBudgets.get(service);
     retryBudget.recordCall();
+    const versions = rollouts.startCall(service);
     const triedHosts = new Set<string>();
     const fullHosts = new Set<string>();
     const key = `${route.name} ${call.method} ${call.path}`;
@@ -248,7 +251,7 @@
       if (!route.isRepeatable || attempts.count() !== 1 || hedgeAfterMs === undefined) return;
       const hedgeOrWait = (mayGuess: boolean): void => {
         // With all targets busy, the delay is queueing delay; a hedged request would queue as well.
-        if (targets.hasFreeSlot(service, triedHosts, mayGuess)) handleEvent({ type: 'overdue' });
+        if (versions.hasFreeSlot(triedHosts, mayGuess)) handleEvent({ type: 'overdue' });
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- waits again
         else hedgeTimer = setTimeout(guardedHedge, hedgeAfterMs, true);
       };
@@ -271,7 +274,7 @@
         handleEvent(verdict);
         return;
       }
-      const placement = targets.chooseTarget(service, triedHosts, {
+      const placement = versions.chooseTarget(triedHosts, {
         kilobytes:
           (responseSizes.getMeanBytes(route.name) +
             (requestBodies.measureBody(call.body) ?? constants.MIN_STREAMED_BYTES)) /
--- a/packages/proxy/src/mesh/gossip-members.ts
+++ b/packages/proxy/src/mesh/gossip-members.ts
@@ -13,8 +13,10 @@
  */
 export interface Members {
   list(): core.Member[];
-  /** Updates this process's own record and sends it to some members at once. */
-  setInfo(info: Partial<core.MemberInfo>): void;
+  /** Updates this process's own record and sends it at once to `receivers`, or to some members. */
+  setInfo(info: Partial<core.MemberInfo>, receivers?: readonly string[]): void;
+  /** Sends this process's own record, and what every message carries, to some members at once. */
+  sendOwnRecord(): void;
   /** Sets the configuration version that gossip messages carry. */
   setVersion(version: number): void;
   /** Asks a member how long ago its version was proven to be the newest. */
@@ -43,6 +45,9 @@
   getProof: () => core.VersionProofStamp | undefined;
   /** Called with the proof in an ack. */
   onProof: (member: core.Member, proof: configurationTask.VersionProofRecord) => void;
+  /** Returns the roll-outs that each message carries; none by default. */
+  listRollouts?: (() => core.RolloutStamp[]) | undefined;
+  onRollouts?: ((stamps: readonly core.RolloutStamp[], from: string) => void) | undefined;
 }
 
 const TICK_INTERVAL_MS = 100;
@@ -90,6 +95,7 @@
 export function createMembers(input: MembersInput): Members {
   const { ctx, hostRegistry, sourceEpoch, onChange, onRecalled, onVersion, getProof, onProof } =
     input;
+  const { listRollouts, onRollouts } = input;
   const { settings, clock, log, metrics, random } = ctx;
   const socket = dgram.createSocket('udp4');
   const wait = datagramWait.createDatagramWait(clock);
@@ -134,9 +140,14 @@
     return proof ? { ...message, proof } : message;
   };
 
+  const stampRollouts = (message: core.GossipMessage): core.GossipMessage => {
+    const rollouts = message.from === settings.id ? listRollouts?.() : undefined;
+    return rollouts && rollouts.length > 0 ? { ...message, rollouts } : message;
+  };
+
   const sendDatagram = (to: core.Endpoint, message: core.GossipMessage): void => {
     if (message.type === 'ping') recordPing(message.sequence);
-    const bytes = gossipCodec.encodeGossip(stampProof(message));
+    const bytes = gossipCodec.encodeGossip(stampRollouts(stampProof(message)));
     metrics.count('gossip_datagrams_total');
     socket.send(bytes, to.port, to.address, (error) => {
       if (error) metrics.count('gossip_send_failures_total');
@@ -204,6 +215,7 @@
     }
     applyEffects(membership.receive(message, from, clock.monotonic()));
     if (message.type === 'ack') receiveProof(message);
+    if (message.rollouts) onRollouts?.(message.rollouts, message.from);
   };
 
   const isEndpointAlive = (endpoint: core.Endpoint): boolean =>
@@ -294,10 +306,12 @@
 
   return {
     list: () => membership.listMembers(),
-    setInfo(info) {
+    setInfo(info, receivers) {
       applyEffects(membership.updateInfo(info, clock.monotonic()));
-      sendOwnRecord();
+      if (receivers) applyEffects(membership.sendSelf(receivers));
+      else sendOwnRecord();
     },
+    sendOwnRecord,
     setVersion(nextVersion) {
       version = nextVersion;
       updateWatermark();
--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -12,6 +12,7 @@
 import * as requestBodies from './request-body.js';
 import type * as requestQuarantine from './request-quarantine.js';
 import * as responseBytes from './response-bytes.js';
+import type * as rolloutTask from './rollout-task.js';
 import * as silenceMonitor from './silence-monitor.js';
 import * as slotUsages from './slot-usage.js';
 import * as targetProbe from './target-probe.js';
@@ -45,6 +46,8 @@
   stop(): void;
 }
 
+/** Cause of an attempt that failed by an error of this process. */
+const INTERNAL_ERROR = 'internal-error';
 /** Weight of the newest attempt in the exponential moving average of failures. */
 const FAILURE_SMOOTHING_FACTOR = 0.1;
 /** Separates a call's ID from the suffix that a target appends for its nested calls. */
@@ -73,6 +76,7 @@
   ctx: context.MeshContext;
   endpoint: core.Endpoint;
   quarantine: requestQuarantine.RequestQuarantine;
+  rollouts: Pick<rolloutTask.RolloutTask, 'mayRun' | 'recordOutcome'>;
   /** Returns the health path of the target's service; undefined while it is not known. */
   getHealthPath: () => string | undefined;
   /** Called when the target becomes available or unavailable, is replaced, or is no longer cold. */
@@ -83,10 +87,10 @@
  * Creates a local target; it refuses attempts until the target announces itself.
  *
  * @example
- * const target = createLocalTarget({ ctx, endpoint, quarantine, getHealthPath, onChange });
+ * const target = createLocalTarget({ ctx, endpoint, quarantine, rollouts, getHealthPath, onChange });
  */
 export function createLocalTarget(input: LocalTargetInput): LocalTarget {
-  const { ctx, endpoint, quarantine, getHealthPath, onChange } = input;
+  const { ctx, endpoint, quarantine, rollouts, getHealthPath, onChange } = input;
   const { clock, log, metrics, protocol } = ctx;
   const queue = mesh.createSlotQueue(1, mesh.slotQueueDefaults);
   const agent = keepAliveAgent.createAgent(TARGET_IDLE_TIMEOUT_MS);
@@ -176,11 +180,23 @@
 
   const lostAttempts = lostAttemptsModule.createLostAttempts({ ctx, endpoint, gate, quarantine });
 
+  /** Counts the outcome for a roll-out; the time of a streamed body depends on the caller. */
+  const recordOutcome = (
+    { sent, attempt, body }: LocalAttempt,
+    outcome: rolloutTask.CallOutcome,
+    tookMs?: number,
+  ): void => {
+    if (!sent) return;
+    const isTimed = Buffer.isBuffer(body);
+    rollouts.recordOutcome(sent.target, attempt.route, outcome, isTimed ? tookMs : undefined);
+  };
+
   const failAttempt = (key: string, cause: string, isConnectionLost = false): void => {
     const entry = openAttempts.get(key);
     if (!entry) return;
     openAttempts.delete(key);
     updateFailureShare(true);
+    if (cause !== INTERNAL_ERROR) recordOutcome(entry, isConnectionLost ? 'broken' : 'failed');
     metrics.count('attempts_broken_total');
     const reportBroken = (crashedTarget?: string): void => {
       log.warn('attempt-broken', {
@@ -199,7 +215,7 @@
   /** Ends an attempt after an error of this process. */
   const abortAttempt = (key: string): void => {
     const request = openAttempts.get(key)?.request;
-    failAttempt(key, 'internal-error');
+    failAttempt(key, INTERNAL_ERROR);
     request?.destroy();
   };
 
@@ -229,6 +245,7 @@
       return;
     }
     const { target, sentAt } = entry.sent;
+    const respondedMs = clock.monotonic() - sentAt;
     entry.sent.hasResponse = true;
     silence.recordResponse();
     const classified = targetResponse.classifyTargetResponse(
@@ -267,6 +284,10 @@
       const tookMs = clock.monotonic() - sentAt;
       slotUsage.record(entry.attempt.route, classifyOutcome(entry, status, isComplete()), tookMs);
       updateFailureShare(!isComplete() || status >= constants.HTTP.firstServerError);
+      // A response that this process gave up is no failure of the target.
+      if (isFailure || isComplete())
+        recordOutcome(entry, isFailure ? 'failed' : 'done', respondedMs);
+      else if (message.errored) recordOutcome(entry, 'broken');
       metrics.observe('target_ms', tookMs);
       releaseSlot(key, isComplete() && status < constants.HTTP.firstError ? tookMs : undefined);
     };
@@ -283,12 +304,22 @@
     });
   };
 
+  /** Returns whether a target may run an attempt as far as services and versions are concerned. */
+  const getMismatch = (
+    target: mesh.OpenTarget,
+    service: string,
+  ): 'wrong-instance' | 'excluded-version' | undefined => {
+    if (target.service !== service) return 'wrong-instance';
+    return rollouts.mayRun(target) ? undefined : 'excluded-version';
+  };
+
   const send = (key: string, entry: LocalAttempt, body: requestBodies.RequestBody): void => {
     const target = gate.getOpenTarget();
     const now = clock.monotonic();
     const remainingMs = Math.floor(entry.attempt.deadlineAt - now);
-    if (!target || target.service !== entry.attempt.service) {
-      refuseStarted(key, target ? 'wrong-instance' : gate.getClosedReason());
+    const mismatch = target && getMismatch(target, entry.attempt.service);
+    if (!target || mismatch) {
+      refuseStarted(key, mismatch ?? gate.getClosedReason());
       return;
     }
     if (remainingMs <= 0) {
@@ -404,6 +435,7 @@
     // disconnected.
     if (!entry.attempt.isRepeatable) return false;
     openAttempts.delete(key);
+    recordOutcome(entry, 'abandoned', now - (entry.sent?.sentAt ?? now));
     lostAttempts.recordCancelled(entry);
     entry.request.destroy();
     releaseAbandonedSlot(key, entry, 'abandoned');
@@ -426,8 +458,8 @@
         isCancelled: false,
       });
       const target = gate.getOpenTarget();
-      if (!target) refuse(key, gate.getClosedReason());
-      else if (target.service !== attempt.service) refuse(key, 'wrong-instance');
+      const mismatch = target && getMismatch(target, attempt.service);
+      if (!target || mismatch) refuse(key, mismatch ?? gate.getClosedReason());
       else {
         const { route, rank, mayBeLate } = attempt;
         const deliveryMs = delivery.waitMs + delivery.transmissionMs;
--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -17,6 +17,7 @@
 import * as peerServer from './peer-server.js';
 import * as quotas from './quota.js';
 import * as requestQuarantine from './request-quarantine.js';
+import * as rolloutTask from './rollout-task.js';
 import * as stallMonitors from './stall-monitor.js';
 import * as auxiliaryServers from './auxiliary-servers.js';
 import * as localTarget from './local-target.js';
@@ -115,6 +116,8 @@
       targets.setMember(member);
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- tasks depend on one another
       quarantine.applyMember(member.info);
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
+      rollouts.recordMember(member);
     },
     onRecalled(info) {
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
@@ -125,6 +128,10 @@
     onVersion: configuration.recordVersion,
     getProof: configuration.getProof,
     onProof: configuration.recordProof,
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- tasks depend on one another
+    listRollouts: () => rollouts.listStamps(),
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
+    onRollouts: (stamps, from) => rollouts.receiveStamps(stamps, from),
   });
 
   const describeTarget = (): core.TargetInfo | null => {
@@ -138,6 +145,7 @@
       state: 'up',
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
       isCold: target.isCold(),
+      ...(settings.rollout && current.version !== undefined ? { version: current.version } : {}),
     };
   };
 
@@ -154,9 +162,24 @@
     onChange: () => members.setInfo(quarantine.getRecords()),
   });
 
+  const rollouts = rolloutTask.createRolloutTask({
+    ctx,
+    orders: adapter.rolloutOrders,
+    statuses: adapter.rolloutStatuses,
+    targets,
+    getMembers: () => members,
+    getOwnTarget: () => ({
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- tasks depend on one another
+      openTarget: target.getOpenTarget(),
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
+      openAttempts: target.countOpenAttempts(),
+    }),
+  });
+
   const target = localTarget.createLocalTarget({
     ctx,
     quarantine,
+    rollouts,
     endpoint: settings.target,
     getHealthPath: () =>
       routes?.config.services.find(({ name }) => name === settings.service)?.healthPath,
@@ -173,6 +196,7 @@
     target,
     peers,
     quarantine,
+    rollouts,
     byteBudget,
     countProcesses: () =>
       Math.max(1, members.list().filter(({ status }) => status === 'alive').length),
@@ -245,6 +269,7 @@
     await waitUntil(isIdle, deadlineAt + LAST_RESPONSES_MS);
     members.leave();
     configuration.stop();
+    rollouts.stop();
     log.info('stopped', {
       tookMs: Math.round(clock.monotonic() - stoppedAt),
       openCalls: callers.countOpenCalls(),
@@ -276,6 +301,7 @@
         ...localServers.map((server) => server.start()),
       ]);
       configuration.start();
+      rollouts.start();
       stallMonitor.start();
       loadMonitor.start();
       linkUsage.start();
--- a/packages/proxy/src/mesh/target-table.ts
+++ b/packages/proxy/src/mesh/target-table.ts
@@ -12,12 +12,20 @@
     service: string,
     triedHosts: ReadonlySet<string>,
     call: { kilobytes: number; mayBeLate: boolean },
+    admits?: TargetFilter,
   ): mesh.Placement | undefined;
   /**
    * Returns whether an untried target has a free slot according to its last load report;
    * with `mayGuess`, of older reports as well.
    */
-  hasFreeSlot(service: string, triedHosts: ReadonlySet<string>, mayGuess: boolean): boolean;
+  hasFreeSlot(
+    service: string,
+    triedHosts: ReadonlySet<string>,
+    mayGuess: boolean,
+    admits?: TargetFilter,
+  ): boolean;
+  /** Counts the open attempts of this process at the targets of a service that the filter admits. */
+  countOpenCalls(service: string, admits: TargetFilter): number;
   recordLoad(hostId: string, load: mesh.TargetLoad): void;
   recordAttemptStart(hostId: string): void;
   recordAttemptEnd(hostId: string): void;
@@ -36,6 +44,11 @@
   getEndpoint(hostId: string): core.Endpoint | undefined;
 }
 
+/** Restricts the targets of a call; without one, all are admitted. */
+export type TargetFilter = (member: core.Member) => boolean;
+
+const admitAll: TargetFilter = () => true;
+
 interface TargetEntry {
   member: core.Member;
   openCalls: number;
@@ -80,8 +93,8 @@
     member.info.target.service === service &&
     (leavingTarget === undefined || member.info.target.id !== leavingTarget);
 
-  const listCallable = (service: string): TargetEntry[] =>
-    [...entries.values()].filter((entry) => isCallable(entry, service));
+  const listCallable = (service: string, admits: TargetFilter): TargetEntry[] =>
+    [...entries.values()].filter((entry) => isCallable(entry, service) && admits(entry.member));
 
   const getLastLoad = (
     entry: TargetEntry,
@@ -126,9 +139,9 @@
         leavingTarget: member.info.departedTarget ?? existing?.leavingTarget,
       });
     },
-    chooseTarget(service, triedHosts, call) {
+    chooseTarget(service, triedHosts, call, admits = admitAll) {
       const now = clock.monotonic();
-      const callableEntries = listCallable(service);
+      const callableEntries = listCallable(service, admits);
       const allowedEntries = callableEntries.filter(({ circuitBreaker }) =>
         circuitBreaker.mayCall(now),
       );
@@ -144,15 +157,19 @@
       if (placement) entries.get(placement.hostId)?.circuitBreaker.recordSent(now);
       return placement;
     },
-    hasFreeSlot(service, triedHosts, mayGuess) {
+    hasFreeSlot(service, triedHosts, mayGuess, admits = admitAll) {
       const now = clock.monotonic();
-      return listCallable(service).some(
+      return listCallable(service, admits).some(
         (entry) =>
           !triedHosts.has(entry.member.id) &&
           entry.circuitBreaker.mayCall(now) &&
           mesh.hasFreeSlot(describeCandidate(entry, now), mesh.placementDefaults, mayGuess),
       );
     },
+    countOpenCalls: (service, admits) =>
+      [...entries.values()]
+        .filter(({ member }) => member.info.target?.service === service && admits(member))
+        .reduce((sum, { openCalls }) => sum + openCalls, 0),
     recordLoad(hostId, load) {
       const entry = entries.get(hostId);
       if (!entry) return;
--- a/packages/proxy/src/mesh/types.ts
+++ b/packages/proxy/src/mesh/types.ts
@@ -22,6 +22,24 @@
   read(waitMs: number, signal: AbortSignal): Promise<mesh.MeshConfig[]>;
 }
 
+/** Orders of the operator to move calls to targets of another version. */
+export interface RolloutOrders {
+  /**
+   * Calls the listener with each order that is read, also if it was read before. `isNew` is true if the
+   * order was written while this process followed the source, so that its time has just begun.
+   */
+  onOrder(listener: (order: mesh.RolloutOrder, isNew: boolean) => void): void;
+}
+
+export type RolloutStatus = 'running' | 'completed' | 'rolled-back';
+
+/** Store in which the operator reads how a roll-out stands. */
+export interface RolloutStatuses {
+  /** Returns the newest status of a service; undefined if there is none. */
+  read(service: string): Promise<{ status: RolloutStatus; targetVersion: string } | undefined>;
+  write(service: string, status: RolloutStatus, targetVersion: string): Promise<void>;
+}
+
 /** Registry in which running processes register, so that new ones find them. */
 export interface HostRegistry {
   register(endpoint: core.Endpoint): Promise<void>;
@@ -92,6 +110,8 @@
   configurationSource: ConfigurationSource;
   hostRegistry: HostRegistry;
   sourceEpoch: SourceEpoch;
+  rolloutOrders: RolloutOrders;
+  rolloutStatuses: RolloutStatuses;
   announcementParser: AnnouncementParser;
   protocol: CallProtocol;
 }
--- a/packages/proxy/test/mesh-configuration-transfer.test.ts
+++ b/packages/proxy/test/mesh-configuration-transfer.test.ts
@@ -132,6 +132,8 @@
       renew: () => Promise.resolve(),
     },
     sourceEpoch: { get: () => undefined, onChange: () => undefined },
+    rolloutOrders: { onOrder: () => undefined },
+    rolloutStatuses: { read: () => Promise.resolve(undefined), write: () => Promise.resolve() },
     announcementParser: { parse: () => ({ type: 'unknown-path' }) },
     protocol,
   });
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -24,5 +24,5 @@
   createCutResponder,
   type CutKind,
 } from './mesh/raw-responses.js';
-export { encodeKeyedRecord, appendConfig } from './store/keyed-record.js';
+export { encodeKeyedRecord, appendConfig, appendOperatorRecord } from './store/keyed-record.js';
 export { startStoreServer, type StoreFaults, type StoreServer } from './store/store-server.js';
--- a/packages/stand-ins/src/mesh/mesh-fleet.ts
+++ b/packages/stand-ins/src/mesh/mesh-fleet.ts
@@ -40,6 +40,8 @@
   store: storeServer.StoreServer;
   /** Appends a configuration to the store, as the operator does. */
   publish(config: object): void;
+  /** Appends a roll-out order to the store, as the operator does. */
+  orderRollout(order: { service: string; targetVersion: string; durationS: number }): void;
   /** Adds a host; resolves once its process is spawned. */
   addHost(options: MeshHostOptions): Promise<MeshHost>;
   /** Waits until every process is ready and has logged every target as up; rejects on time-out. */
@@ -50,6 +52,8 @@
 /** Location of a host and the service of its target. */
 export interface MeshHostOptions {
   service: string;
+  /** Version of its target. */
+  version?: string;
   dataCentre: string;
   region: string;
 }
@@ -107,7 +111,10 @@
   const directory = fs.mkdtempSync(path.join(os.tmpdir(), 'figshed-mesh-'));
   const store = await storeServer.startStoreServer();
 
-  const startHost = async (hostOptions: MeshHostOptions, index: number): Promise<MeshHost> => {
+  const startHost = async (
+    { version, ...hostOptions }: MeshHostOptions,
+    index: number,
+  ): Promise<MeshHost> => {
     const address = `127.0.${options.thirdOctet}.${index + 1}`;
     const name = `host-${index + 1}`;
     const formatAddress = (port: number): string => `${address}:${port}`;
@@ -132,6 +139,7 @@
     const target = await meshTarget.startMeshTarget({
       id: `t-${index + 1}`,
       service: hostOptions.service,
+      version,
       address,
       port: ports.target + (options.targetPortOffset ?? 0),
       announcedPort: ports.target,
@@ -218,6 +226,8 @@
     hosts,
     store,
     publish: (config) => keyedRecord.appendConfig(store.topics, config),
+    orderRollout: (order) =>
+      keyedRecord.appendOperatorRecord(store.topics, `rollout/${order.service}`, order),
     async addHost(hostOptions) {
       const host = await startHost(hostOptions, hosts.length);
       hosts.push(host);
--- a/packages/stand-ins/src/mesh/mesh-target.ts
+++ b/packages/stand-ins/src/mesh/mesh-target.ts
@@ -33,6 +33,8 @@
   id: string;
   address: string;
   port: number;
+  /** Version of its program, as in its announcements. */
+  version: string;
   /** Unix time of its start in milliseconds, as in its announcements. */
   bornAt: number;
   /** Unix times in milliseconds at which it crashed. */
@@ -74,6 +76,8 @@
 export interface MeshTargetOptions {
   id: string;
   service: string;
+  /** Defaults to `v1`. */
+  version?: string | undefined;
   address: string;
   port: number;
   /** Port in the announcements, if a link listens in front of the target; defaults to `port`. */
@@ -112,6 +116,7 @@
 
   const target: MeshTarget = {
     id: options.id,
+    version: options.version ?? 'v1',
     address,
     port,
     bornAt: Date.now(),
@@ -169,7 +174,7 @@
     return postAnnouncement(`/api/Instances.Heartbeat/${target.id}`, {
       addr: `${address}:${options.announcedPort ?? port}`,
       born: target.bornAt,
-      info: { service, version: 'v1', zone: 'z', maxConcurrency: slots },
+      info: { service, version: target.version, zone: 'z', maxConcurrency: slots },
       status: { state, sequence, coldRemainingMs: 0 },
     });
   };
--- a/packages/stand-ins/src/store/keyed-record.ts
+++ b/packages/stand-ins/src/store/keyed-record.ts
@@ -11,7 +11,16 @@
   return Buffer.concat([Buffer.from([Buffer.byteLength(key)]), Buffer.from(key + value)]);
 }
 
+/** Appends a record to the operator's topic. */
+export function appendOperatorRecord(
+  topics: topicStore.TopicStore,
+  key: string,
+  value: object,
+): void {
+  topics.append('keyed.op', [encodeKeyedRecord(key, JSON.stringify(value))]);
+}
+
 /** Appends a configuration to the operator's topic. */
 export function appendConfig(topics: topicStore.TopicStore, config: object): void {
-  topics.append('keyed.op', [encodeKeyedRecord('config', JSON.stringify(config))]);
+  appendOperatorRecord(topics, 'config', config);
 }
