--- a/packages/core/src/mesh/rollout-counts.ts
+++ b/packages/core/src/mesh/rollout-counts.ts
@@ -53,23 +53,16 @@
     return counts;
   };
 
-  const recordTime = (
-    counts: rollout.RouteCounts,
-    tookMs: number,
-    usualMs: number | undefined,
-  ): void => {
-    if (usualMs === undefined) return;
-    counts.timed += 1;
-    if (tookMs > usualMs * rollout.SLOW_FACTOR) counts.slow += 1;
-  };
-
   return {
     record(route, { isFailure, tookMs }, usualMs) {
       const counts = getOrCreate(route);
       counts.responses += 1;
       if (isFailure) counts.failures += 1;
       if (isFailure || tookMs === undefined) return;
-      recordTime(counts, tookMs, usualMs);
+      if (usualMs !== undefined) {
+        counts.timed += 1;
+        if (tookMs > usualMs * rollout.SLOW_FACTOR) counts.slow += 1;
+      }
       counts.averagedCalls += 1;
       const weight =
         counts.averagedCalls < MIN_AVERAGED_CALLS ? 1 / counts.averagedCalls : SMOOTHING_FACTOR;
@@ -77,10 +70,11 @@
     },
     recordAbandoned(route, ranMs, usualMs) {
       // A caller that leaves early says nothing of the target.
-      if (usualMs === undefined || ranMs <= usualMs * rollout.SLOW_FACTOR) return;
+      if (usualMs === undefined || ranMs <= usualMs * rollout.ABANDONED_FACTOR) return;
       const counts = getOrCreate(route);
       counts.responses += 1;
-      recordTime(counts, ranMs, usualMs);
+      counts.timed += 1;
+      counts.slow += 1;
     },
     list() {
       const sorted = [...routes.values()]
--- a/packages/core/src/mesh/rollout-state.ts
+++ b/packages/core/src/mesh/rollout-state.ts
@@ -201,9 +201,9 @@
   const mayUseOrdered = rollout?.phase !== 'rolled-back' && rollout?.record !== 'unknown';
   const candidates = unordered.length > 0 || !mayUseOrdered ? unordered : targets;
   if (candidates.some(({ version }) => version === before)) return before;
-  const oldest = candidates.reduce<VersionedTarget | undefined>(
-    (first, each) => (!first || each.bornAt < first.bornAt ? each : first),
-    undefined,
+  // All hosts must choose the same of versions whose targets started together.
+  const [oldest] = [...candidates].sort(
+    (left, right) => left.bornAt - right.bornAt || (left.version < right.version ? -1 : 1),
   );
   return oldest?.version;
 }
--- a/packages/core/src/mesh/rollout.ts
+++ b/packages/core/src/mesh/rollout.ts
@@ -18,12 +18,17 @@
 }
 
 export interface RolloutTestOptions {
-  /** Fewest bad responses that can condemn a version; fewer prove little, whatever their share. */
-  minBad: number;
+  /**
+   * Fewest bad responses of each kind that can condemn a version. A target that fails or stands still
+   * for a moment causes several at once.
+   */
+  minBad: Record<RolloutFinding['kind'], number>;
   /** The same while the old version has few responses, which may be due to missing reports. */
   minBadAlone: number;
   /** Responses of the old version from which on they are enough to compare with. */
   minOldResponses: number;
+  /** Fewest bad responses that raise a doubt. */
+  minDoubtful: number;
   /** Probability of as many bad responses by chance, below which the version is bad. */
   badProbability: number;
   /** The same, below which a version is not yet trusted with all calls. */
@@ -39,9 +44,10 @@
 }
 
 export const rolloutTestDefaults: RolloutTestOptions = {
-  minBad: 4,
-  minBadAlone: 8,
+  minBad: { failures: 6, slow: 8 },
+  minBadAlone: 10,
   minOldResponses: 20,
+  minDoubtful: 3,
   // Each roll-out is tested some hundred times on up to nine routes.
   badProbability: 3e-4,
   doubtProbability: 0.01,
@@ -53,6 +59,11 @@
 
 /** Multiple of the usual time from which on a response is slow. */
 export const SLOW_FACTOR = 3.5;
+/**
+ * The same for a call that was abandoned. A hedged call is given up as soon as the other response is
+ * there, often before it would count as slow; the calls of both versions are.
+ */
+export const ABANDONED_FACTOR = 2;
 /** Route name under which the counts of all routes beyond the largest are added up. */
 export const OTHER_ROUTES = '';
 
@@ -183,18 +194,21 @@
   old: readonly RouteCounts[],
   options: RolloutTestOptions,
 ): RolloutVerdict {
-  const [finding] = [
+  const findings = [
     ...listFindings(canary, old, 'failures', options),
     ...listFindings(canary, old, 'slow', options),
-  ]
-    .filter(({ bad }) => bad > 0)
-    .sort((left, right) => left.probability - right.probability);
-  const responses = computeTotals(canary, 'failures').of;
+  ].sort((left, right) => left.probability - right.probability);
   const isAlone = computeTotals(old, 'failures').of < options.minOldResponses;
-  const minBad = isAlone ? options.minBadAlone : options.minBad;
-  if (finding && finding.bad >= minBad && finding.probability < options.badProbability)
-    return { type: 'bad', finding };
-  if (finding && finding.probability < options.doubtProbability)
-    return { type: 'doubtful', finding };
+  const badFinding = findings.find(
+    ({ kind, bad, probability }) =>
+      bad >= (isAlone ? options.minBadAlone : options.minBad[kind]) &&
+      probability < options.badProbability,
+  );
+  if (badFinding) return { type: 'bad', finding: badFinding };
+  const doubtfulFinding = findings.find(
+    ({ bad, probability }) => bad >= options.minDoubtful && probability < options.doubtProbability,
+  );
+  if (doubtfulFinding) return { type: 'doubtful', finding: doubtfulFinding };
+  const responses = computeTotals(canary, 'failures').of;
   return { type: responses < options.minResponses ? 'unknown' : 'good', responses };
 }
--- a/packages/proxy/src/mesh/rollout-task.ts
+++ b/packages/proxy/src/mesh/rollout-task.ts
@@ -85,6 +85,7 @@
 const REPORT_MS_PER_HOST = 100;
 /** How long a finished roll-out is in all messages; afterwards each carries one of them. */
 const FINISHED_STAMP_MS = 20_000;
+const COUNTS_LOG_MS = 2_000;
 /** Hosts that decide and write; each gets the reports directly. */
 const DECIDERS = 3;
 
@@ -161,6 +162,7 @@
   let reportedKey = '';
   let hasReport = false;
   let finishedTurn = 0;
+  let loggedAt = Number.NEGATIVE_INFINITY;
   let timer: NodeJS.Timeout | undefined;
 
   const getState = (service: string): ServiceState => {
@@ -365,8 +367,13 @@
     );
   };
 
+  const sumField = (
+    counts: readonly mesh.RouteCounts[],
+    field: 'responses' | 'failures' | 'slow',
+  ): number => counts.reduce((sum, each) => sum + each[field], 0);
+
   const countResponses = (counts: readonly mesh.RouteCounts[]): number =>
-    counts.reduce((sum, { responses }) => sum + responses, 0);
+    sumField(counts, 'responses');
 
   /** Returns whether the canary may get one more call within the bound, by the counts known here. */
   const isWithinBound = (state: ServiceState): boolean => {
@@ -485,11 +492,36 @@
     getMembers().setInfo({ rollout: report }, listReportReceivers(ranked));
   };
 
+  /** Logs what the verdict is based on; one host does. */
+  const logCounts = (state: ServiceState, now: number): void => {
+    if (!isActive(state) || now - loggedAt < COUNTS_LOG_MS) return;
+    loggedAt = now;
+    const responses = countResponses(state.canaryCounts);
+    const oldResponses = countResponses(state.oldCounts);
+    log.info('rollout-counts', {
+      service: state.service,
+      targetVersion: state.rollout?.order.targetVersion,
+      phase: state.rollout?.phase,
+      responses,
+      share: Math.round((responses / Math.max(1, responses + oldResponses)) * 1_000) / 1_000,
+      failures: sumField(state.canaryCounts, 'failures'),
+      slow: sumField(state.canaryCounts, 'slow'),
+      oldResponses,
+      oldFailures: sumField(state.oldCounts, 'failures'),
+      oldSlow: sumField(state.oldCounts, 'slow'),
+      verdict: state.verdict.type,
+      canaries: [...state.activeCanaries].join(),
+    });
+  };
+
   const tick = (): void => {
     const now = clock.monotonic();
     updateOwnTarget(getOwnTarget().openTarget);
     recordVersions(now);
-    const ranked = [...states.values()].some(({ rollout }) => rollout) ? rankHosts() : [];
+    const isUnwritten = [...states.values()].some(
+      ({ rollout }) => rollout !== undefined && rollout.record !== 'final',
+    );
+    const ranked = isUnwritten ? rankHosts() : [];
     const rank = Math.max(0, ranked.indexOf(settings.id));
     states.forEach((state) => {
       const { rollout } = state;
@@ -500,6 +532,7 @@
         decide(state, rank);
       }
       updateMoved(state);
+      if (rank === 0) logCounts(state, now);
       writer.step(state.service, { rank, haveAllMoved: haveAllMoved(state) });
     });
     publishReport(ranked, now);
--- a/packages/proxy/test/mesh-gossip-codec.test.ts
+++ b/packages/proxy/test/mesh-gossip-codec.test.ts
@@ -69,6 +69,32 @@
     });
   });
 
+  it('decodes versions, counts and states of roll-outs, and adds no byte without them', () => {
+    const target = { service: 'a', slots: 3, state: 'up' as const, version: 'v2' };
+    const counts = [{ route: 'read', responses: 9, failures: 1, timed: 8, slow: 2, usualMs: 20.5 }];
+    const rollout = { offset: 7, version: 'v2', moved: [7], counts };
+    const member = createMember('h1', target);
+    const stamp: core.RolloutStamp = {
+      service: 'a',
+      targetVersion: 'v2',
+      epoch: 1,
+      offset: 7,
+      durationMs: 30_000,
+      remainingMs: 12_000,
+      phase: 'moving',
+      record: 'running',
+    };
+    const sent = {
+      ...message,
+      members: [{ ...member, info: { ...member.info, rollout } }],
+      rollouts: [stamp],
+    };
+    const decoded = codec.decodeGossip(codec.encodeGossip(sent));
+    assert.deepEqual(JSON.parse(JSON.stringify(decoded)), JSON.parse(JSON.stringify(sent)));
+    const { rollouts, ...before } = { ...message, rollouts: undefined };
+    assert.deepEqual(codec.encodeGossip({ ...before, rollouts }), codec.encodeGossip(message));
+  });
+
   it('takes less than half of the bytes of MessagePack with field names', () => {
     assert.ok(codec.encodeGossip(message).length < msgpack.encode(message).length / 2);
   });
