--- a/packages/core/src/mesh/rollout-share.ts
+++ b/packages/core/src/mesh/rollout-share.ts
@@ -25,7 +25,7 @@
  * their calls, also if each of them has only a few.
  *
  * @example
- * createCanaryShare({ share: 0.07, callsPerSecond: 0.01 }, random, clock.monotonic()).takeCall(now);
+ * createCanaryShare({ share: 0.085, callsPerSecond: 0.01 }, random, clock.monotonic()).takeCall(now);
  */
 export function createCanaryShare(
   { share, callsPerSecond }: CanaryShareOptions,
--- a/packages/core/src/mesh/rollout.ts
+++ b/packages/core/src/mesh/rollout.ts
@@ -51,9 +51,9 @@
   // Each roll-out is tested some hundred times on up to nine routes.
   badProbability: 3e-4,
   doubtProbability: 0.01,
-  tolerance: 1.5,
+  tolerance: 1.3,
   failureAllowance: 0.015,
-  slowAllowance: 0.06,
+  slowAllowance: 0.02,
   minResponses: 8,
 };
 
--- a/packages/proxy/src/mesh/rollout-task.ts
+++ b/packages/proxy/src/mesh/rollout-task.ts
@@ -53,9 +53,9 @@
 const TICK_MS = 200;
 const MS_PER_SECOND = 1_000;
 /** Part of the permitted share that is used, since the hosts do not coordinate it. */
-const SHARE_IN_USE = 0.7;
+const SHARE_IN_USE = 0.85;
 /** Part of the slack that all hosts together spend on calls besides the share. */
-const SLACK_IN_USE = 0.3;
+const SLACK_IN_USE = 0.5;
 /** Part of the slack at which the hosts of the canary refuse further calls. */
 const SLACK_LIMIT = 0.8;
 /** Share of calls that the canary gets during the first step of the move. */
