Mesh: a restarted process sends no calls to a canary besides its share

Cause: it knew no other host yet and took the part of all of them. Change: the rate of these calls is 0 in the first 5 s of a process.

--- a/packages/core/src/mesh/index.ts
+++ b/packages/core/src/mesh/index.ts
@@ -92,6 +92,7 @@
 export { createOutcomeCounts, type OutcomeCounts } from './rollout-counts.js';
 export {
   chooseCanaryHosts,
+  computeExtraCallRate,
   createCanaryShare,
   type CanaryShare,
   type CanaryShareOptions,
--- a/packages/core/src/mesh/rollout-share.ts
+++ b/packages/core/src/mesh/rollout-share.ts
@@ -19,6 +19,26 @@
 /** Calls that may be saved up while the canary is not available. */
 const MAX_CREDIT = 2;
 const MS_PER_SECOND = 1_000;
+/**
+ * Age of a process from which on it knows how many hosts there are. A younger one gets no calls besides
+ * the share: it would take the part of many hosts, and a restarted one has had its part before.
+ */
+const MIN_PROCESS_AGE_MS = 5_000;
+
+/**
+ * Computes the calls per second that one host may send to the canary besides the share, when all hosts
+ * together may send `calls` of them over `overMs`.
+ *
+ * @example
+ * computeExtraCallRate(25, { overMs: 20_000, hosts: 60, processAgeMs: 90_000 });
+ */
+export function computeExtraCallRate(
+  calls: number,
+  { overMs, hosts, processAgeMs }: { overMs: number; hosts: number; processAgeMs: number },
+): number {
+  if (processAgeMs < MIN_PROCESS_AGE_MS) return 0;
+  return calls / Math.max(1, overMs / MS_PER_SECOND) / Math.max(1, hosts);
+}
 
 /**
  * Creates a share. It starts at a random fraction of a call: the hosts together then send the share of
--- a/packages/core/test/mesh-rollout.test.ts
+++ b/packages/core/test/mesh-rollout.test.ts
@@ -135,6 +135,15 @@
   });
 });
 
+describe('calls besides the share', () => {
+  it('are divided among the hosts, and a process that has just started gets none', () => {
+    const fleet = { overMs: 10_000, hosts: 5, processAgeMs: 60_000 };
+    assert.equal(mesh.computeExtraCallRate(25, fleet), 0.5);
+    // It knows no other host yet and would send as many calls as all hosts together may.
+    assert.equal(mesh.computeExtraCallRate(25, { ...fleet, hosts: 1, processAgeMs: 400 }), 0);
+  });
+});
+
 const order: mesh.RolloutOrder = {
   service: 'catalogue',
   targetVersion: 'v2',
--- a/packages/proxy/src/mesh/rollout-task.ts
+++ b/packages/proxy/src/mesh/rollout-task.ts
@@ -51,7 +51,6 @@
 }
 
 const TICK_MS = 200;
-const MS_PER_SECOND = 1_000;
 /** Part of the permitted share that is used, since the hosts do not coordinate it. */
 const SHARE_IN_USE = 0.85;
 /** Part of the slack that all hosts together spend on calls besides the share. */
@@ -211,11 +210,14 @@
     );
 
   const createShare = ({ durationMs }: mesh.RolloutOrder): mesh.CanaryShare => {
-    const extraCalls = bounds.slack * SLACK_IN_USE;
-    const seconds = (durationMs * times.moveAfterShare) / MS_PER_SECOND;
-    const callsPerSecond = extraCalls / Math.max(1, seconds) / Math.max(1, countAlive());
+    const now = clock.monotonic();
+    const callsPerSecond = mesh.computeExtraCallRate(bounds.slack * SLACK_IN_USE, {
+      overMs: durationMs * times.moveAfterShare,
+      hosts: countAlive(),
+      processAgeMs: now - startedAt,
+    });
     const options = { share: bounds.maxShare * SHARE_IN_USE, callsPerSecond };
-    return mesh.createCanaryShare(options, random, clock.monotonic());
+    return mesh.createCanaryShare(options, random, now);
   };
 
   const recordMember = ({ id, info }: core.Member): void => {
