--- a/packages/proxy/src/mesh/process.ts
+++ b/packages/proxy/src/mesh/process.ts
@@ -17,6 +17,7 @@
 import * as quotas from './quota.js';
 import * as quotaTask from './quota-task.js';
 import * as requestQuarantine from './request-quarantine.js';
+import * as rolloutTask from './rollout-task.js';
 import * as stallMonitors from './stall-monitor.js';
 import * as auxiliaryServers from './auxiliary-servers.js';
 import * as localTarget from './local-target.js';
@@ -117,6 +118,8 @@
       targets.setMember(member);
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- tasks depend on one another
       quarantine.applyMember(member.info);
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
+      rollouts.recordMember(member);
     },
     onRecalled(info) {
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
@@ -127,6 +130,10 @@
     onVersion: configuration.recordVersion,
     getProof: configuration.getProof,
     onProof: configuration.recordProof,
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- tasks depend on one another
+    listRollouts: () => rollouts.listStamps(),
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
+    onRollouts: (stamps, from) => rollouts.receiveStamps(stamps, from),
   });
 
   const describeTarget = (): core.TargetInfo | null => {
@@ -140,6 +147,7 @@
       state: 'up',
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
       isCold: target.isCold(),
+      ...(settings.rollout && current.version !== undefined ? { version: current.version } : {}),
     };
   };
 
@@ -157,10 +165,25 @@
   });
 
   const workEstimates = mesh.createWorkEstimates(mesh.workEstimateDefaults);
+  const rollouts = rolloutTask.createRolloutTask({
+    ctx,
+    orders: adapter.rolloutOrders,
+    statuses: adapter.rolloutStatuses,
+    targets,
+    getMembers: () => members,
+    getOwnTarget: () => ({
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- tasks depend on one another
+      openTarget: target.getOpenTarget(),
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- as above
+      openAttempts: target.countOpenAttempts(),
+    }),
+  });
+
   const target = localTarget.createLocalTarget({
     ctx,
     quarantine,
     workEstimates,
+    rollouts,
     endpoint: settings.target,
     getHealthPath: () =>
       routes?.config.services.find(({ name }) => name === settings.service)?.healthPath,
@@ -178,6 +201,7 @@
     peers,
     quarantine,
     workEstimates,
+    rollouts,
     byteBudget,
     countProcesses: () =>
       Math.max(1, members.list().filter(({ status }) => status === 'alive').length),
@@ -252,6 +276,7 @@
     await waitUntil(isIdle, deadlineAt + LAST_RESPONSES_MS);
     members.leave();
     configuration.stop();
+    rollouts.stop();
     log.info('stopped', {
       tookMs: Math.round(clock.monotonic() - stoppedAt),
       openCalls: callers.countOpenCalls(),
@@ -285,6 +310,7 @@
         ...localServers.map((server) => server.start()),
       ]);
       configuration.start();
+      rollouts.start();
       stallMonitor.start();
       loadMonitor.start();
       linkUsage.start();
--- a/packages/proxy/src/mesh/target-table.ts
+++ b/packages/proxy/src/mesh/target-table.ts
@@ -12,12 +12,20 @@
     service: string,
     triedHosts: ReadonlySet<string>,
     call: mesh.PlacementCall,
+    admits?: TargetFilter,
   ): mesh.Placement | undefined;
   /**
    * Returns whether an untried target has a free slot according to its last load report;
    * with `mayGuess`, of older reports as well.
    */
-  hasFreeSlot(service: string, triedHosts: ReadonlySet<string>, mayGuess: boolean): boolean;
+  hasFreeSlot(
+    service: string,
+    triedHosts: ReadonlySet<string>,
+    mayGuess: boolean,
+    admits?: TargetFilter,
+  ): boolean;
+  /** Counts the open attempts of this process at the targets of a service that the filter admits. */
+  countOpenCalls(service: string, admits: TargetFilter): number;
   recordLoad(hostId: string, load: mesh.TargetLoad): void;
   /** Records an attempt of which `work` is expected, relative to the mean of its service. */
   recordAttemptStart(hostId: string, work: number): void;
@@ -38,6 +46,11 @@
   getEndpoint(hostId: string): core.Endpoint | undefined;
 }
 
+/** Restricts the targets of a call; without one, all are admitted. */
+export type TargetFilter = (member: core.Member) => boolean;
+
+const admitAll: TargetFilter = () => true;
+
 interface TargetEntry {
   member: core.Member;
   /** Updated in place, so that the choice of a target creates no object for each candidate. */
@@ -82,8 +95,8 @@
     member.info.target.service === service &&
     (leavingTarget === undefined || member.info.target.id !== leavingTarget);
 
-  const listCallable = (service: string): TargetEntry[] =>
-    [...entries.values()].filter((entry) => isCallable(entry, service));
+  const listCallable = (service: string, admits: TargetFilter): TargetEntry[] =>
+    [...entries.values()].filter((entry) => isCallable(entry, service) && admits(entry.member));
 
   /** Updates what ages in the description of a candidate, and returns it. */
   const updateCandidate = (
@@ -132,12 +145,12 @@
         leavingTarget: member.info.departedTarget ?? existing?.leavingTarget,
       });
     },
-    chooseTarget(service, triedHosts, call) {
+    chooseTarget(service, triedHosts, call, admits = admitAll) {
       const now = clock.monotonic();
       const allowed: mesh.PlacementCandidate[] = [];
       const callable: mesh.PlacementCandidate[] = [];
       entries.forEach((entry) => {
-        if (!isCallable(entry, service)) return;
+        if (!isCallable(entry, service) || !admits(entry.member)) return;
         const candidate = updateCandidate(entry, now);
         callable.push(candidate);
         if (entry.circuitBreaker.mayCall(now)) allowed.push(candidate);
@@ -152,15 +165,19 @@
       if (placement) entries.get(placement.hostId)?.circuitBreaker.recordSent(now);
       return placement;
     },
-    hasFreeSlot(service, triedHosts, mayGuess) {
+    hasFreeSlot(service, triedHosts, mayGuess, admits = admitAll) {
       const now = clock.monotonic();
-      return listCallable(service).some(
+      return listCallable(service, admits).some(
         (entry) =>
           !triedHosts.has(entry.member.id) &&
           entry.circuitBreaker.mayCall(now) &&
           mesh.hasFreeSlot(updateCandidate(entry, now), mesh.placementDefaults, mayGuess),
       );
     },
+    countOpenCalls: (service, admits) =>
+      [...entries.values()]
+        .filter(({ member }) => member.info.target?.service === service && admits(member))
+        .reduce((sum, { candidate }) => sum + candidate.openCalls, 0),
     recordLoad(hostId, load) {
       const entry = entries.get(hostId);
       if (!entry) return;
