--- a/packages/proxy/src/mesh/local-target.ts
+++ b/packages/proxy/src/mesh/local-target.ts
@@ -116,7 +116,10 @@
     metrics.count('attempts_refused_total', { reason });
     log.info('attempt-refused', {
       call: entry.attempt.callId,
+      account: entry.attempt.account,
+      returning: entry.attempt.wasRejected || undefined,
       reason,
+      retryAfterMs: Math.round(retryAfterMs),
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- a closed gate refuses calls
       target: gate.getOpenTarget()?.id,
       ...queue.getLoad(clock.monotonic()),
