CLI: check a configuration before it is sent

Cause: validate and publish accept documents whose entries have no effect: a request kind behind another, a service outside every contract, a burst that the data centres cannot divide, a deadline above every time-out. Operators saw these only in calls.

Change: figshed check FILE [--against FILE] [--json] reports errors and warnings with stable codes and positions, and the differences from a document or from the log. Findings and differences are pure code in core, for the mesh's configuration too. documents.ts has inspectDocuments, which takes the check and throws nothing; loadDocuments uses it, so both locate findings in the same way. A finding at a whole resource now has the path resources.N instead of resources.N with a dot behind.

The whole suite was not run.

--- a/packages/cli/src/commands/read.ts
+++ b/packages/cli/src/commands/read.ts
@@ -18,24 +18,16 @@
   );
 }
 
-async function readExistingResources(log: string | undefined): Promise<Map<string, core.Resource>> {
-  if (!log) return new Map();
-  const configLog = configLogClient.createConfigLog(log);
-  try {
-    const { resources } = await configLog.readState();
-    return new Map(Object.entries(resources).map(([id, { resource }]) => [id, resource]));
-  } finally {
-    await configLog.close();
-  }
-}
-
 export const validateCommand = citty.defineCommand({
   meta: { name: 'validate', description: 'Check documents; uses the network only with --log' },
   args: { ...sharedArguments.logArgument, ...sharedArguments.jsonArgument },
   run: ({ args }) =>
     commandRunner.runAction(args.json, async () => {
       if (args._.length === 0) throw new errors.UsageError('at least one document is needed');
-      const { resources } = documents.loadDocuments(args._, await readExistingResources(args.log));
+      const { resources } = documents.loadDocuments(
+        args._,
+        await commandRunner.readResourcesInForce(args.log),
+      );
       const output = commandOutput.createOutput(args.json);
       output.printResult(`${resources.length} resources are valid`, {
         valid: true,
--- a/packages/cli/src/commands/run.ts
+++ b/packages/cli/src/commands/run.ts
@@ -1,4 +1,6 @@
+import type * as core from '@figshed/core';
 import * as runtime from '@figshed/runtime';
+import * as configLogClient from '../config-log.js';
 import * as errors from '../errors.js';
 import * as codes from '../exit-codes.js';
 
@@ -51,3 +53,23 @@
   if (!url) throw new errors.UsageError('this command needs --log URL');
   return url;
 }
+
+/**
+ * Reads the resources in force from the log; returns none without its URL.
+ *
+ * @throws UnknownResultError when the log cannot be read.
+ * @example
+ * const existing = await readResourcesInForce(args.log);
+ */
+export async function readResourcesInForce(
+  logUrl: string | undefined,
+): Promise<Map<string, core.Resource>> {
+  if (!logUrl) return new Map();
+  const configLog = configLogClient.createConfigLog(logUrl);
+  try {
+    const { resources } = await configLog.readState();
+    return new Map(Object.entries(resources).map(([id, { resource }]) => [id, resource]));
+  } finally {
+    await configLog.close();
+  }
+}
--- a/packages/cli/src/documents.ts
+++ b/packages/cli/src/documents.ts
@@ -18,6 +18,18 @@
   base: Record<string, number>;
 }
 
+type ResourceCheck<T extends core.Finding> = (resources: ReadonlyMap<string, core.Resource>) => T[];
+
+/** Documents with the findings of their form and of a check of their resources. */
+export interface InspectedDocuments<T extends core.Finding> extends LoadedDocuments {
+  /** Findings of syntax and schema, and of resources that are given twice. */
+  findings: runtime.FileFinding[];
+  /** Findings of the check at resources of the documents. */
+  checkFindings: (T & runtime.FileFinding)[];
+  /** Findings of the check at existing resources, with paths that begin with the resource's ID. */
+  existingFindings: T[];
+}
+
 /** A resource with its position; `resource` is undefined if it does not match the schema. */
 interface LocatedResource {
   document: runtime.ParsedDocument;
@@ -58,32 +70,36 @@
   return { located, base: parsedDocument?.base ?? {} };
 }
 
-function addFinding(
+function locateFinding<T extends core.Finding>(
   { document, index }: LocatedResource,
   path: readonly string[],
-  message: string,
-): void {
+  finding: T,
+): T & runtime.FileFinding {
   const parts = path.map((part) => (/^\d+$/.test(part) ? Number(part) : part));
   const fullPath = ['resources', index, ...parts];
-  document.findings.push({
+  return {
+    ...finding,
     file: document.file,
     ...runtime.findPosition(document, fullPath),
     path: fullPath.join('.'),
-    message,
-  });
+  };
 }
 
 function checkDuplicates(located: readonly LocatedResource[]): void {
   located.forEach((locatedResource, index) => {
     const isDuplicate = located.slice(0, index).some(({ id }) => id === locatedResource.id);
-    if (isDuplicate) addFinding(locatedResource, ['name'], `${locatedResource.id} is given twice`);
+    if (!isDuplicate) return;
+    const finding = { path: 'name', message: `${locatedResource.id} is given twice` };
+    locatedResource.document.findings.push(locateFinding(locatedResource, ['name'], finding));
   });
 }
 
-function checkReferences(
+/** Checks the resources together with the existing ones, and locates the findings. */
+function checkLocated<T extends core.Finding>(
   located: readonly LocatedResource[],
   existing: ReadonlyMap<string, core.Resource>,
-): void {
+  check: ResourceCheck<T>,
+): { inDocuments: (T & runtime.FileFinding)[]; elsewhere: T[] } {
   const allResources = new Map(existing);
   located.forEach(({ id, resource }) => {
     if (resource) allResources.set(id, resource);
@@ -93,38 +109,75 @@
   const validResources = new Map(
     [...allResources].filter(([, resource]) => resource.kind !== undefined),
   );
-  const findings = core.checkReferences(validResources);
-  findings.forEach(({ path, message }) => {
+  const inDocuments: (T & runtime.FileFinding)[] = [];
+  const elsewhere: T[] = [];
+  check(validResources).forEach((finding) => {
+    const { path, message } = finding;
     const locatedResource = located.find(({ id }) => path === id || path.startsWith(`${id}.`));
     const missing = /^service "(.*)" does not exist$/.exec(message)?.[1];
-    if (!locatedResource || (missing !== undefined && allResources.has(`service/${missing}`)))
+    if (missing !== undefined && allResources.has(`service/${missing}`)) return;
+    if (!locatedResource) {
+      elsewhere.push(finding);
       return;
-    addFinding(locatedResource, path.slice(locatedResource.id.length + 1).split('.'), message);
+    }
+    const relativePath = path.slice(locatedResource.id.length + 1);
+    const parts = relativePath === '' ? [] : relativePath.split('.');
+    inDocuments.push(locateFinding(locatedResource, parts, finding));
   });
+  return { inDocuments, elsewhere };
 }
 
 /**
- * Loads documents and checks them together with the existing resources.
+ * Reads documents and checks them together with the existing resources by `check`. Reports every
+ * finding and throws none.
  *
- * @throws DocumentError with all findings and their positions.
  * @example
- * const { resources } = loadDocuments(['contracts.jsonc'], new Map());
+ * inspectDocuments(['contracts.jsonc'], new Map(), core.checkResources).checkFindings;
  */
-export function loadDocuments(
+export function inspectDocuments<T extends core.Finding>(
   files: readonly string[],
   existing: ReadonlyMap<string, core.Resource>,
-): LoadedDocuments {
+  check: ResourceCheck<T>,
+): InspectedDocuments<T> {
   const documents = files.map(readFile);
   const loadedDocuments = documents.map(locateResources);
   const located = loadedDocuments.flatMap((loadedDocument) => loadedDocument.located);
   checkDuplicates(located);
-  checkReferences(located, existing);
-  const findings = documents.flatMap((document) => document.findings);
-  if (findings.length > 0) throw new runtime.DocumentError(findings);
+  const { inDocuments, elsewhere } = checkLocated(located, existing, check);
   return {
+    findings: documents.flatMap((document) => document.findings),
+    checkFindings: inDocuments,
+    existingFindings: elsewhere,
     resources: located
       .map(({ resource }) => resource)
       .filter((resource): resource is core.Resource => resource !== undefined),
     base: Object.assign({}, ...loadedDocuments.map(({ base }) => base)) as Record<string, number>,
   };
 }
+
+/**
+ * Indexes resources by their IDs.
+ *
+ * @example
+ * indexResources(resources).get('contract/school');
+ */
+export function indexResources(resources: readonly core.Resource[]): Map<string, core.Resource> {
+  return new Map(resources.map((resource) => [core.formatResourceId(resource), resource]));
+}
+
+/**
+ * Loads documents and checks them together with the existing resources.
+ *
+ * @throws DocumentError with all findings and their positions.
+ * @example
+ * const { resources } = loadDocuments(['contracts.jsonc'], new Map());
+ */
+export function loadDocuments(
+  files: readonly string[],
+  existing: ReadonlyMap<string, core.Resource>,
+): LoadedDocuments {
+  const inspected = inspectDocuments(files, existing, core.checkReferences);
+  const findings = [...inspected.findings, ...inspected.checkFindings];
+  if (findings.length > 0) throw new runtime.DocumentError(findings);
+  return { resources: inspected.resources, base: inspected.base };
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,6 +1,7 @@
 /** The `figshed` command for operators. */
 import * as citty from 'citty';
 import * as changeCommands from './commands/change.js';
+import * as checkCommands from './commands/check.js';
 import * as readCommands from './commands/read.js';
 import * as codes from './exit-codes.js';
 
@@ -10,6 +11,7 @@
   meta: { name: 'figshed', description: 'Publish contracts and follow their rollout' },
   subCommands: {
     validate: readCommands.validateCommand,
+    check: checkCommands.checkCommand,
     publish: changeCommands.publishCommand,
     amend: changeCommands.amendCommand,
     get: readCommands.getCommand,
--- a/packages/core/src/config/compiled-config.ts
+++ b/packages/core/src/config/compiled-config.ts
@@ -65,7 +65,13 @@
   });
 }
 
-function isUnderPrefix(path: string, prefix: string): boolean {
+/**
+ * Returns whether a path is the prefix or lies below it.
+ *
+ * @example
+ * isUnderPrefix('/catalogue/7', '/catalogue'); // true
+ */
+export function isUnderPrefix(path: string, prefix: string): boolean {
   if (!path.startsWith(prefix)) return false;
   return prefix.endsWith('/') || path.length === prefix.length || path[prefix.length] === '/';
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,17 @@
   type AdmissionRequest,
   type ShedReason,
 } from './admission/admission.js';
+export { listDifferences } from './config/check-differences.js';
+export {
+  createError,
+  formatReport,
+  isError,
+  type CheckFinding,
+  type CheckReport,
+  type FieldDifference,
+  type LocatedCheckFinding,
+} from './config/check-findings.js';
+export { absenceCodes, checkResources } from './config/check-resources.js';
 export {
   compileConfig,
   matchRoute,
--- a/packages/core/src/mesh/index.ts
+++ b/packages/core/src/mesh/index.ts
@@ -14,6 +14,7 @@
   type HedgeDelayEstimator,
   type HedgeDelayOptions,
 } from './hedge-delay.js';
+export { checkMeshConfig, listMeshDifferences } from './check-config.js';
 export { createClockCheck, type ClockCheck } from './clock-check.js';
 export { computeCallTimes, type CallTimes } from './call-times.js';
 export {
--- a/packages/core/src/mesh/routes.ts
+++ b/packages/core/src/mesh/routes.ts
@@ -10,7 +10,13 @@
   findRoute(host: string, path: string): types.RoutePolicy | undefined;
 }
 
-function normaliseHostHeader(host: string): string {
+/**
+ * Removes the port from a Host header and puts it in lower case.
+ *
+ * @example
+ * normaliseHostHeader('Shop.example:80'); // 'shop.example'
+ */
+export function normaliseHostHeader(host: string): string {
   return host.replace(/:\d+$/, '').toLowerCase();
 }
 
