Mesh: limit the connections at the ports for peers, announcements, readiness and metrics

Cause: every open connection takes a descriptor, and only the port for callers had a limit.

Change: the limit for callers is a function that all servers use. For peers it is half of the descriptors less 400, and a connection with an open attempt stays; at the other ports it is 100, and the oldest connection closes first.

--- a/packages/proxy/src/mesh/auxiliary-servers.ts
+++ b/packages/proxy/src/mesh/auxiliary-servers.ts
@@ -2,7 +2,9 @@
 import * as http from 'node:http';
 import type * as mesh from '@figshed/core/mesh';
 import type * as byteBudgets from '../byte-budget.js';
+import * as auxiliaryConnections from './auxiliary-connections.js';
 import * as bodyReader from './body-reader.js';
+import * as callerLimits from './caller-limits.js';
 import * as constants from './constants.js';
 import type * as context from './context.js';
 import type * as localTarget from './local-target.js';
@@ -17,6 +19,7 @@
 const MAX_ANNOUNCEMENT_BYTES = 16_384;
 
 function createAuxiliaryServer(
+  ctx: context.MeshContext,
   endpoint: { address: string; port: number },
   handler: http.RequestListener,
 ): AuxiliaryServer {
@@ -24,6 +27,10 @@
     { keepAliveTimeout: constants.PEER_SERVER_IDLE_TIMEOUT_MS },
     handler,
   );
+  const recordLimit = callerLimits.createLimitLog(ctx);
+  auxiliaryConnections.limitAuxiliaryConnections(server, (open) =>
+    recordLimit('connection-closed', 'auxiliary-connections', { open, port: endpoint.port }),
+  );
   return {
     async start() {
       await new Promise<void>((resolve, reject) => {
@@ -47,7 +54,7 @@
   ctx: context.MeshContext,
   isReady: () => boolean,
 ): AuxiliaryServer {
-  return createAuxiliaryServer(ctx.settings.ready, (request, response) => {
+  return createAuxiliaryServer(ctx, ctx.settings.ready, (request, response) => {
     bodyReader.drainBody(request);
     const isReadyPath = (request.url ?? '').split('?')[0] === ctx.protocol.readyPath;
     const status = isReady() ? constants.HTTP.ok : constants.HTTP.unavailable;
@@ -101,7 +108,7 @@
     'unknown-path': () => ({ status: constants.HTTP.notFound, verdict: 'unknown-path' }),
   };
 
-  return createAuxiliaryServer(settings.announcements, (request, response) => {
+  return createAuxiliaryServer(ctx, settings.announcements, (request, response) => {
     const holding = byteBudget.open(MAX_ANNOUNCEMENT_BYTES);
     bodyReader
       .readBlocks(request, holding, MAX_ANNOUNCEMENT_BYTES)
--- a/packages/proxy/src/mesh/caller-connections.ts
+++ b/packages/proxy/src/mesh/caller-connections.ts
@@ -1,6 +1,7 @@
 /** Connections of the callers: the calls pending on each, and how each of them ends. */
 import type * as http from 'node:http';
 import type * as net from 'node:net';
+import * as connectionLimit from '../connections/connection-limit.js';
 import * as connectionTracker from '../connections/connection-tracker.js';
 import * as callerLimits from './caller-limits.js';
 import * as connectionLogs from './connection-log.js';
@@ -96,20 +97,12 @@
     return connection?.pendingResponses.size === 1 && !connection.hasStarted;
   };
 
-  server.on('connection', (socket: net.Socket) => {
-    if (tracker.countOpen() <= maxConnections) return;
-    // Only a connection whose calls have been handed on is worth more than a new one.
-    const closed =
-      tracker.find((state) => state === 'ending' || state === 'idle') ??
-      tracker.find(
-        (state, other) => other !== socket && (state === 'receiving' || isReceivingBody(other)),
-      ) ??
-      socket;
-    recordLimit('connection-closed', 'caller-connections', {
-      open: tracker.countOpen(),
-      limit: maxConnections,
-    });
-    closed.destroy();
+  connectionLimit.limitConnections(server, tracker, {
+    maxConnections,
+    // A connection whose calls have been handed on is worth more than a new one.
+    mustStay: (state, socket) => state === 'pending' && !isReceivingBody(socket),
+    onClosed: (open) =>
+      recordLimit('connection-closed', 'caller-connections', { open, limit: maxConnections }),
   });
 
   return {
--- a/packages/proxy/src/mesh/caller-limits.ts
+++ b/packages/proxy/src/mesh/caller-limits.ts
@@ -67,6 +67,21 @@
   );
 }
 
+/**
+ * Computes how many connections of peers may be open: half of the descriptors that are not for files,
+ * the store and the target.
+ *
+ * @example
+ * computeMaxPeerConnections({ maxPeerConnections: undefined }); // 1848 with 4,096 descriptors
+ */
+export function computeMaxPeerConnections({
+  maxPeerConnections,
+}: Pick<meshSettings.MeshSettings, 'maxPeerConnections'>): number {
+  return (
+    maxPeerConnections ?? Math.max(1, Math.floor((readDescriptorLimit() - OTHER_DESCRIPTORS) / 2))
+  );
+}
+
 /** What a limit has done to a call or a connection. */
 export type LimitAction = 'call-refused' | 'connection-closed';
 
--- a/packages/proxy/src/mesh/constants.ts
+++ b/packages/proxy/src/mesh/constants.ts
@@ -63,6 +63,8 @@
   { maxBytes: CALL_BYTES + MAX_BUFFERED_REQUEST_BYTES, share: 0.875 },
   { maxBytes: Number.POSITIVE_INFINITY, share: 0.75 },
 ] as const;
+/** Connections at each of the ports for announcements, readiness and metrics, which few clients use. */
+export const MAX_AUXILIARY_CONNECTIONS = 100;
 export const PEER_CLIENT_IDLE_TIMEOUT_MS = 20_000;
 /**
  * Idle time-out of the servers for peers and announcements; above that of the peer client, so that
--- a/packages/proxy/src/mesh/metrics.ts
+++ b/packages/proxy/src/mesh/metrics.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import * as prom from 'prom-client';
+import * as auxiliaryConnections from './auxiliary-connections.js';
 import * as bodyReader from './body-reader.js';
 import * as constants from './constants.js';
 
@@ -61,10 +62,15 @@
       .catch((error: Error) => response.writeHead(constants.HTTP.unavailable).end(error.message));
   });
 
+  const count: MeshMetrics['count'] = (name, labels = {}, amount = 1) => {
+    getCounter(name, Object.keys(labels)).inc(labels, amount);
+  };
+  auxiliaryConnections.limitAuxiliaryConnections(server, () =>
+    count('caller_limits_total', { action: 'connection-closed', cause: 'metrics-connections' }),
+  );
+
   return {
-    count(name, labels = {}, amount = 1) {
-      getCounter(name, Object.keys(labels)).inc(labels, amount);
-    },
+    count,
     observe(name, milliseconds) {
       getHistogram(name).observe(milliseconds);
     },
--- a/packages/proxy/src/mesh/peer-server.ts
+++ b/packages/proxy/src/mesh/peer-server.ts
@@ -2,6 +2,7 @@
 import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
 import * as mesh from '@figshed/core/mesh';
+import * as connectionLimit from '../connections/connection-limit.js';
 import * as connectionTracker from '../connections/connection-tracker.js';
 import * as bodyFraming from './body-framing.js';
 import type * as byteBudgets from '../byte-budget.js';
@@ -71,6 +72,14 @@
     ({ headers }) => meshHeaders.parseAttemptMetadata(headers)?.callId,
   );
   const tracker = connectionTracker.trackConnections(server, { onCut: connectionLog.logCut });
+  const recordLimit = callerLimits.createLimitLog(ctx);
+  const maxConnections = callerLimits.computeMaxPeerConnections(settings);
+  connectionLimit.limitConnections(server, tracker, {
+    maxConnections,
+    mustStay: (state) => state === 'pending',
+    onClosed: (open) =>
+      recordLimit('connection-closed', 'peer-connections', { open, limit: maxConnections }),
+  });
   const pacer = mesh.createLinkPacer({
     ...mesh.linkPacerDefaults,
     linkMbps: settings.linkMbps,
@@ -89,7 +98,6 @@
     linkMbps: settings.linkMbps,
   });
 
-  const recordLimit = callerLimits.createLimitLog(ctx);
   /** Sockets whose connection closes; requests on them are ignored. */
   const rejectedSockets = new WeakSet<net.Socket>();
   let openAttempts = 0;
--- a/packages/proxy/src/mesh/settings.ts
+++ b/packages/proxy/src/mesh/settings.ts
@@ -85,6 +85,8 @@
   maxHeldBytes: z.number().positive().optional(),
   /** Open connections of callers; by default derived from `memoryMb` and the limit on descriptors. */
   maxCallerConnections: z.number().int().positive().optional(),
+  /** Open connections of other processes; by default derived from the limit on descriptors. */
+  maxPeerConnections: z.number().int().positive().optional(),
   /** Calls that may be pending on one connection of a caller. */
   maxPendingCalls: z.number().int().positive().default(DEFAULT_PENDING_CALLS),
   /** Retry budget of all processes together, per service and window. */
