--- a/packages/proxy/test/byte-budget.test.ts
+++ b/packages/proxy/test/byte-budget.test.ts
@@ -1,7 +1,6 @@
 /** Guards the order in which holders give way, by which a crowd of senders cannot keep others out. */
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
-import type * as core from '@figshed/core';
 import * as byteBudgets from '../src/byte-budget.js';
 
 const { describe, it } = test;
