--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -17,9 +17,23 @@
       .map((name) => path.join(directory, name)),
   )
   .sort();
-const result = childProcess.spawnSync(
-  process.execPath,
-  ['--import', 'tsx', '--test', '--test-concurrency=3', ...files],
-  { cwd: root, stdio: 'inherit' },
-);
-process.exitCode = result.status ?? 1;
+/** Tests of memory and descriptors, which other load on the machine would disturb. */
+const isIsolated = (file) => path.basename(file) === 'uncontrolled-clients.test.ts';
+
+const runFiles = (selected, concurrency) =>
+  selected.length === 0
+    ? 0
+    : (childProcess.spawnSync(
+        process.execPath,
+        ['--import', 'tsx', '--test', `--test-concurrency=${concurrency}`, ...selected],
+        { cwd: root, stdio: 'inherit' },
+      ).status ?? 1);
+
+const statuses = [
+  runFiles(
+    files.filter((file) => !isIsolated(file)),
+    3,
+  ),
+  runFiles(files.filter(isIsolated), 1),
+];
+process.exitCode = Math.max(...statuses);
