--- a/packages/proxy/src/mesh/configuration-task.ts
+++ b/packages/proxy/src/mesh/configuration-task.ts
@@ -319,7 +319,9 @@
         : undefined;
     },
     checkUnknownRoute() {
-      const ageMs = pollSchedule.getConfirmationAgeMs(clock.monotonic());
+      const confirmationAgeMs = pollSchedule.getConfirmationAgeMs(clock.monotonic());
+      // Unlike a confirmation, a proof is void after a suspension, whose duration is not known.
+      const ageMs = needsProof ? Math.max(confirmationAgeMs, proof.getAgeMs()) : confirmationAgeMs;
       const verdict = mesh.decideUnknownRoute(
         { hasVersion: getVersion() !== undefined, ageMs, isBehind: isBehind(), isSourceReachable },
         { ...mesh.unknownRouteDefaults, applyWithinMs },
