Mesh: no 401 or 404 while a newer version is known that could not be fetched

A host that knew of a newer version answered a key of that version with 401, and a new route with 404, when the peer that holds it could not be reached: after a failed fetch the peer was forgotten, and with it that there is a newer version. The same happened when a peer in the data centre with a lower version replaced a more distant one with a higher version.

The newest version heard of is now kept apart from the peer to fetch it from. A confirmation later than the message that told of it contradicts it, so that a wrong claim of a member ends with the next confirmation.

--- a/packages/proxy/src/mesh/configuration-task.ts
+++ b/packages/proxy/src/mesh/configuration-task.ts
@@ -131,6 +131,8 @@
    * even one with a newer version.
    */
   let preferredHolder: VersionHolder | undefined;
+  /** Newest version that a member is known to hold, whether or not it can be fetched. */
+  let newestKnown: { version: number; heardAt: number } | undefined;
   let readController: AbortController | undefined;
   let pauseController: AbortController | undefined;
   let nearbyWaitTimer: NodeJS.Timeout | undefined;
@@ -194,6 +196,16 @@
   const isBehind = (): boolean =>
     preferredHolder !== undefined && preferredHolder.version > (getVersion() ?? NO_VERSION);
 
+  /** Returns the newest version known, if it is newer and no later confirmation contradicts it. */
+  const findNewerVersion = (): number | undefined => {
+    const now = clock.monotonic();
+    return newestKnown &&
+      newestKnown.version > (getVersion() ?? NO_VERSION) &&
+      now - newestKnown.heardAt <= pollSchedule.getConfirmationAgeMs(now)
+      ? newestKnown.version
+      : undefined;
+  };
+
   const fetchFromHolder = async (): Promise<void> => {
     if (isStopped || isFetching || !isBehind() || !preferredHolder) return;
     isFetching = true;
@@ -234,6 +246,8 @@
     if (needsProof && ageMs !== undefined && version >= (ownVersion ?? NO_VERSION))
       getMembers().requestProof(member);
     if (version <= (ownVersion ?? NO_VERSION)) return;
+    if (version >= (findNewerVersion() ?? NO_VERSION))
+      newestKnown = { version, heardAt: clock.monotonic() };
     const isNearby = member.info.dataCentre === settings.dataCentre;
     if (!preferredHolder || version > preferredHolder.version || isNearby)
       preferredHolder = { member, version, confirmedAt };
@@ -323,7 +337,12 @@
       // Unlike a confirmation, a proof is void after a suspension, whose duration is not known.
       const ageMs = needsProof ? Math.max(confirmationAgeMs, proof.getAgeMs()) : confirmationAgeMs;
       const verdict = mesh.decideUnknownRoute(
-        { hasVersion: getVersion() !== undefined, ageMs, isBehind: isBehind(), isSourceReachable },
+        {
+          hasVersion: getVersion() !== undefined,
+          ageMs,
+          isBehind: isBehind() || findNewerVersion() !== undefined,
+          isSourceReachable,
+        },
         { ...mesh.unknownRouteDefaults, applyWithinMs },
       );
       const shouldRead = verdict.type === 'undecided' && verdict.shouldRead;
@@ -336,7 +355,7 @@
       return {
         ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
         confirmedBy,
-        newerVersion: isBehind() ? preferredHolder?.version : undefined,
+        newerVersion: findNewerVersion() ?? (isBehind() ? preferredHolder?.version : undefined),
         readMs: readStartedAt === undefined ? undefined : Math.round(now - readStartedAt),
         isSourceReachable,
       };
--- a/packages/proxy/test/mesh-unconfirmed-keys.test.ts
+++ b/packages/proxy/test/mesh-unconfirmed-keys.test.ts
@@ -1,13 +1,16 @@
 /** When a process may say that a key or a route is unknown, although a newer version may have it. */
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
+import * as timers from 'node:timers/promises';
 import type * as core from '@figshed/core';
 import * as configurationTask from '../src/mesh/configuration-task.js';
 import * as meshMetrics from '../src/mesh/metrics.js';
 
 const { describe, it } = test;
 
+const SETTLE_MS = 50;
 const OWN_VERSION = 1;
+const NEWER_VERSION = 2;
 const member = { id: 'peer', info: { dataCentre: 'a', region: 'r' } } as core.Member;
 
 /** A task with a version in force, on clocks that the test sets, whose peers cannot be fetched from. */
@@ -58,4 +61,23 @@
     times.now += 10_000;
     assert.equal(task.checkUnknownRoute().type, 'undecided');
   });
+
+  it('is undecided while a newer version is known, though it could not be fetched', async () => {
+    const { task, pass, recordProof } = createTask({ revokeWithinMs: 5_000 });
+    recordProof();
+    pass(100);
+    task.recordVersion(member, NEWER_VERSION, undefined);
+    await timers.setTimeout(SETTLE_MS);
+    assert.equal(task.checkUnknownRoute().type, 'undecided');
+    assert.equal(task.getConfirmation().newerVersion, NEWER_VERSION);
+  });
+
+  it('is absent again once a later proof contradicts a member that claimed a newer version', async () => {
+    const { task, pass, recordProof } = createTask({ revokeWithinMs: 5_000 });
+    task.recordVersion(member, NEWER_VERSION, undefined);
+    await timers.setTimeout(SETTLE_MS);
+    pass(100);
+    recordProof();
+    assert.equal(task.checkUnknownRoute().type, 'absent');
+  });
 });
