Mesh: no proof from an ack to a ping of an earlier process

A restarted host could take its configuration for newer than proven, by as long as an ack to its earlier process had been on the way, and run calls with a withdrawn key for that much longer. Each process numbered its pings from 1, so a late ack to the earlier process matched an early ping of the new one, and its proof was timed by that later ping.

Where proofs are in use, the numbers now start at a random one. Other deployments send the same bytes as before.

Evidence: the new test in mesh-gossip-members.test.ts fails without the random start.

--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -46,6 +46,8 @@
   info: types.MemberInfo;
   options: types.MembershipOptions;
   random: clock.Random;
+  /** Sequence number before that of the first ping; 0 by default. */
+  startSequence?: number;
 }
 
 interface Probe {
@@ -83,7 +85,7 @@
     info: input.info,
   };
   let watermark: types.ConfigWatermark = { position: -1, version: -1, digest: '' };
-  let sequence = 0;
+  let sequence = input.startSequence ?? 0;
   let probe: Probe | undefined;
   let probeOrder: string[] = [];
   let nextPingAt = 0;
--- a/packages/proxy/src/mesh/gossip-members.ts
+++ b/packages/proxy/src/mesh/gossip-members.ts
@@ -60,6 +60,8 @@
 
 /** Pings whose acks may still arrive; an older proof would be of no use. */
 const MAX_SENT_PINGS = 64;
+/** Far above the number of pings of one process, within the integers that take 5 bytes. */
+const MAX_START_SEQUENCE = 2 ** 31;
 
 /** Version in the watermark of a process without a configuration. */
 const NO_VERSION = -1;
@@ -116,6 +118,10 @@
     },
     options: membershipOptions,
     random,
+    // A late ack to an earlier process of this host would make its proof seem younger than it is.
+    ...(settings.revokeWithinMs === undefined
+      ? {}
+      : { startSequence: Math.floor(random() * MAX_START_SEQUENCE) }),
   });
   let tickTimer: NodeJS.Timeout | undefined;
   let contactTimer: NodeJS.Timeout | undefined;
--- a/packages/proxy/test/mesh-gossip-members.test.ts
+++ b/packages/proxy/test/mesh-gossip-members.test.ts
@@ -75,6 +75,7 @@
     send: (bytes: Uint8Array) => Promise<void>,
   ) => Promise<void>,
   onVersion: gossipMembers.MembersInput['onVersion'] = () => undefined,
+  onProof: gossipMembers.MembersInput['onProof'] = () => undefined,
 ): Promise<void> {
   const socket = dgram.createSocket('udp4');
   const members = gossipMembers.createMembers({
@@ -91,6 +92,7 @@
         target: `${ADDRESS}:21203`,
         peerPort: PORT,
         metricsPort: 21_205,
+        revokeWithinMs: 5_000,
       }),
       clock: runtime.systemClock,
       random: Math.random,
@@ -114,7 +116,7 @@
     onRecalled: () => undefined,
     onVersion,
     getProof: () => undefined,
-    onProof: () => undefined,
+    onProof,
   });
   await members.start();
   try {
@@ -146,6 +148,36 @@
       assert.equal(members.list().length, 2);
     }));
 
+  // Both processes ping from the start, so equal first numbers would match.
+  it('takes no proof from an ack to a ping of an earlier process of this host', async () => {
+    const proofs: unknown[] = [];
+    const sendLateAcks = async (
+      _: gossipMembers.Members,
+      send: (bytes: Uint8Array) => Promise<void>,
+    ): Promise<void> => {
+      await send(codec.encodeGossip(createMessage([member])));
+      await timers.setTimeout(PROBES_MS);
+      const sequences = Array.from({ length: 20 }, (__, index) => index);
+      await Promise.all(
+        sequences.map((sequence) =>
+          send(
+            codec.encodeGossip({
+              type: 'ack',
+              sequence,
+              from: 'h2',
+              mark: { position: 1, version: 1, digest: '' },
+              members: [],
+              proof: { version: 1, ageMs: 0 },
+            }),
+          ),
+        ),
+      );
+      await timers.setTimeout(PROBES_MS);
+    };
+    await withMembers(sendLateAcks, undefined, (__, proof) => proofs.push(proof));
+    assert.deepEqual(proofs, []);
+  });
+
   it('adds the time in the socket to the age of a confirmation', async () => {
     const ages: (number | undefined)[] = [];
     const sendMarks = async (
