--- a/packages/core/test/mesh-quota.test.ts
+++ b/packages/core/test/mesh-quota.test.ts
@@ -379,3 +379,67 @@
     assert.ok(perHostAndSecond <= 22, `${perHostAndSecond}`);
   });
 });
+
+describe('a refused call', () => {
+  // A coordinator that counts a call twice tells the next callers to return twice as late as needed.
+  it('is reported to the coordinator only if the coordinator was not asked for it', () => {
+    let now = 10_000;
+    const spender = mesh.createQuotaSpender({
+      id: 'host',
+      clock: { now: () => now, monotonic: () => now },
+      random: () => 0.5,
+      options: mesh.quotaDefaults,
+      startedAt: 0,
+    });
+    const account = createAccount('a', 10);
+    spender.setView({ coordinators: ['other'], others: ['other'], knownHosts: 2 });
+    const exchange = (): mesh.QuotaAsk[] =>
+      spender.takeRequests().flatMap(({ request }) => {
+        const { sequence, asks, delegation, echo } = request;
+        const answer = { granted: 0, nextMs: 1_000, spacingMs: 100, share: 1 };
+        spender.receive({
+          sequence,
+          from: 'other',
+          stamp: { instance: 1, at: now },
+          heldGeneration: delegation?.generation ?? -1,
+          answers: echo ? asks.map(() => answer) : [],
+        });
+        return asks;
+      });
+    const wait = (ms: number): void => {
+      now += ms;
+      spender.tick();
+      exchange();
+    };
+    exchange();
+    wait(100);
+    const verdicts: mesh.QuotaVerdict['type'][] = [];
+    const call = (): void => {
+      const verdict = spender.admit(account, ({ type }) => verdicts.push(type));
+      if (verdict) verdicts.push(verdict.type);
+    };
+    call();
+    assert.deepEqual(
+      exchange().map(({ waiting, refused }) => [waiting, refused]),
+      [[1, 0]],
+    );
+    wait(250);
+    call();
+    assert.deepEqual(
+      exchange().map(({ waiting, refused }) => [waiting, refused]),
+      [[1, 0]],
+    );
+    // Refused at once, by the answer that has just arrived.
+    call();
+    wait(250);
+    call();
+    assert.deepEqual(
+      exchange().map(({ waiting, refused }) => [waiting, refused]),
+      [[1, 1]],
+    );
+    assert.deepEqual(
+      verdicts,
+      Array.from({ length: 4 }, () => 'over-limit'),
+    );
+  });
+});
