Mesh: a call whose caller left while it waited for a token ends

A call that waits up to 300 ms for a quota token, and whose caller leaves meanwhile, never ended: its body is read only after the wait, the closed request emits no further event, and the promise of the body stayed pending. The call left no line in the log.

receiveBody now rejects a request that is closed already, which ends the call like any other whose caller left before the end of its body.

Evidence: late-body-read.test.ts, 'pending' for both kinds of bodies before the change.

--- a/packages/proxy/src/mesh/request-body.ts
+++ b/packages/proxy/src/mesh/request-body.ts
@@ -88,6 +88,8 @@
   byteBudget: bodyReader.ByteBudget,
   { mayStream, maxBytes }: { mayStream: boolean; maxBytes: number },
 ): Promise<RequestBody> {
+  // A source that was closed before it is read emits no further event.
+  if (source.destroyed) throw new errors.IncompleteBodyError();
   const statedLength = source.headers['content-length'];
   const lengthBytes = statedLength === undefined ? undefined : Number(statedLength);
   if (mayStream && lengthBytes === undefined && source.headers['transfer-encoding'] !== undefined)
