--- a/packages/core/src/mesh/quota-answers.ts
+++ b/packages/core/src/mesh/quota-answers.ts
@@ -9,12 +9,9 @@
   computeRefusedShare(now: number): number;
   /** Returns when a coordinator expects the next token for a call that is refused now. */
   getNextAt(): number;
-  /**
-   * Returns a delay after which a refused call may return. `wasAsked` tells that a coordinator was
-   * asked for it, and has thus counted it.
-   */
-  refuse(now: number, random: number, wasAsked: boolean): number;
-  /** Returns the calls refused without asking since the last call of this function. */
+  /** Counts a call that is refused without asking; returns a delay after which it may return. */
+  refuse(now: number, random: number): number;
+  /** Returns the calls refused since the last call of this function, for one coordinator. */
   takeRefused(coordinator: string): number;
   getAnsweredAt(): number | undefined;
 }
@@ -22,10 +19,7 @@
 interface LastAnswer extends messages.QuotaAnswer {
   isRefusal: boolean;
   answeredAt: number;
-  /** Calls refused by this answer, which return one after another. */
   refused: number;
-  /** Those of them that no coordinator was asked for. */
-  unreported: number;
 }
 
 /** Age from which on an answer tells nothing of the present. */
@@ -64,13 +58,7 @@
       answers.forEach((each, id) => {
         if (each.answeredAt <= now - MAX_ANSWER_AGE_MS) answers.delete(id);
       });
-      answers.set(coordinator, {
-        ...answer,
-        isRefusal,
-        answeredAt: now,
-        refused: 0,
-        unreported: 0,
-      });
+      answers.set(coordinator, { ...answer, isRefusal, answeredAt: now, refused: 0 });
       answeredAt = now;
     },
     hasNone(coordinator, now) {
@@ -87,20 +75,19 @@
       const soonest = findSoonest();
       return soonest ? soonest.answeredAt + soonest.nextMs : Number.POSITIVE_INFINITY;
     },
-    refuse(now, random, wasAsked) {
+    refuse(now, random) {
       const soonest = findSoonest();
       if (!soonest) return maxRetryAfterMs;
       const delayMs = Math.max(0, soonest.answeredAt + soonest.nextMs - now);
       const queueMs = (soonest.refused + random) * soonest.spacingMs;
       soonest.refused += 1;
-      if (!wasAsked) soonest.unreported += 1;
       return Math.min(maxRetryAfterMs, delayMs + queueMs) * (1 + SPREAD * random);
     },
     takeRefused(coordinator) {
       const answer = answers.get(coordinator);
-      const unreported = answer?.unreported ?? 0;
-      if (answer) answer.unreported = 0;
-      return unreported;
+      const refused = answer?.refused ?? 0;
+      if (answer) answer.refused = 0;
+      return refused;
     },
     getAnsweredAt: () => answeredAt,
   };
--- a/packages/core/src/mesh/quota-spender.ts
+++ b/packages/core/src/mesh/quota-spender.ts
@@ -51,8 +51,6 @@
   /** Time at which it is asked for again. */
   retryAt: number;
   hasRetried: boolean;
-  /** True once a coordinator has been asked for it. */
-  wasAsked: boolean;
 }
 
 interface AccountState {
@@ -123,10 +121,7 @@
     assignment.listCoordinators(name, share.getCoordinators());
 
   /** Decides a call for which no request is under way. */
-  const decide = (
-    { account, wasAsked }: Pick<Waiter, 'account' | 'wasAsked'>,
-    now: number,
-  ): verdicts.QuotaVerdict => {
+  const decide = (account: types.ClientAccount, now: number): verdicts.QuotaVerdict => {
     const state = getState(account.name, now);
     const coordinators = listCoordinators(account.name);
     const floorDelayMs = state.floor.take(account, coordinators, now);
@@ -140,7 +135,7 @@
       usesOwnShare: floorDelayMs !== undefined,
     };
     if (refusedShare >= MIN_REFUSED_SHARE) {
-      const retryAfterMs = state.answers.refuse(now, random(), wasAsked);
+      const retryAfterMs = state.answers.refuse(now, random());
       return { type: 'over-limit', retryAfterMs, ...details };
     }
     const untilFloorMs = Math.min(floorDelayMs ?? 0, options.maxRetryAfterMs);
@@ -185,14 +180,13 @@
     const coordinator = chooseCoordinator(waiter, now);
     if (coordinator !== undefined) {
       waiter.tried.add(coordinator);
-      waiter.wasAsked = true;
       requests.addCall(coordinator, waiter.account.name, waiter);
       return;
     }
     if (waiter.openRequests > 0) return;
     const retryAt = findRetryAt(waiter, now);
     if (retryAt < waiter.startedAt + options.maxWaitMs) waiter.retryAt = retryAt;
-    else settle(waiter, decide(waiter, now));
+    else settle(waiter, decide(waiter.account, now));
   };
 
   const discardAfterSuspension = (): void => {
@@ -257,14 +251,13 @@
         tried: new Set(),
         retryAt: Number.POSITIVE_INFINITY,
         hasRetried: false,
-        wasAsked: false,
         openRequests: 0,
         isSettled: false,
       };
       const mustDecide =
         chooseCoordinator(waiter, now) === undefined &&
         findRetryAt(waiter, now) === Number.POSITIVE_INFINITY;
-      if (mustDecide) return decide(waiter, now);
+      if (mustDecide) return decide(account, now);
       waiters.add(waiter);
       advance(waiter, now);
       return undefined;
@@ -287,7 +280,7 @@
       requests.takeUnanswered(now).forEach((waiter) => advance(waiter, now));
       waiters.forEach((waiter) => {
         if (now - waiter.startedAt >= options.maxWaitMs) {
-          settle(waiter, decide(waiter, now));
+          settle(waiter, decide(waiter.account, now));
         } else if (waiter.retryAt <= now) {
           waiter.retryAt = Number.POSITIVE_INFINITY;
           waiter.hasRetried = true;
