--- a/packages/proxy/src/mesh/request-body.ts
+++ b/packages/proxy/src/mesh/request-body.ts
@@ -141,6 +141,8 @@
   holding: byteBudgets.Holding,
   { mayStream, maxBytes }: { mayStream: boolean; maxBytes: number },
 ): Promise<RequestBody> {
+  // A source that was closed before it is read emits no further event.
+  if (source.destroyed) throw new errors.IncompleteBodyError();
   const lengthBytes = readStatedLength(source);
   if (lengthBytes !== undefined && lengthBytes > maxBytes)
     throw new errors.BodyTooLargeError(maxBytes);
