--- a/packages/proxy/src/mesh/caller-limits.ts
+++ b/packages/proxy/src/mesh/caller-limits.ts
@@ -1,5 +1,4 @@
 /** Limits on the memory and the connections of callers, and their log lines. */
-import * as fs from 'node:fs';
 import * as byteBudgets from '../byte-budget.js';
 import * as constants from './constants.js';
 import type * as context from './context.js';
@@ -12,7 +11,6 @@
 const CONNECTIONS_PER_MB = 3;
 /** Descriptors for files, the store and the connections to the target. */
 const OTHER_DESCRIPTORS = 400;
-const DEFAULT_DESCRIPTORS = 4_096;
 /** Refusals are logged up to this rate; each line states how many were left out. */
 const MAX_LINES_PER_SECOND = 5;
 
@@ -34,35 +32,26 @@
   return byteBudgets.createByteBudget(maxHeldBytes ?? limitBytes, constants.BUDGET_TIERS);
 }
 
-/** Reads the limit on descriptors that the operating system applies to this process. */
-function readDescriptorLimit(): number {
-  try {
-    // eslint-disable-next-line n/no-sync -- once, at the start
-    const limits = fs.readFileSync('/proc/self/limits', 'utf8');
-    return Number(/^Max open files\s+(\d+)/m.exec(limits)?.[1] ?? DEFAULT_DESCRIPTORS);
-  } catch {
-    return DEFAULT_DESCRIPTORS;
-  }
-}
-
 /**
  * Computes how many connections of callers may be open: by memory, and so that half of the descriptors
  * remain for peers.
  *
  * @example
- * computeMaxConnections({ memoryMb: 250, maxCallerConnections: undefined }); // 750
+ * computeMaxConnections({ memoryMb: 250, maxDescriptors: 4_096, maxCallerConnections: undefined }); // 750
  */
 export function computeMaxConnections({
   memoryMb,
+  maxDescriptors,
   maxCallerConnections,
-}: Pick<meshSettings.MeshSettings, 'memoryMb' | 'maxCallerConnections'>): number {
+}: Pick<
+  meshSettings.MeshSettings,
+  'memoryMb' | 'maxDescriptors' | 'maxCallerConnections'
+>): number {
   return (
     maxCallerConnections ??
     Math.max(
       1,
-      Math.floor(
-        Math.min(memoryMb * CONNECTIONS_PER_MB, (readDescriptorLimit() - OTHER_DESCRIPTORS) / 2),
-      ),
+      Math.floor(Math.min(memoryMb * CONNECTIONS_PER_MB, (maxDescriptors - OTHER_DESCRIPTORS) / 2)),
     )
   );
 }
@@ -72,14 +61,13 @@
  * the store and the target.
  *
  * @example
- * computeMaxPeerConnections({ maxPeerConnections: undefined }); // 1848 with 4,096 descriptors
+ * computeMaxPeerConnections({ maxDescriptors: 4_096, maxPeerConnections: undefined }); // 1848
  */
 export function computeMaxPeerConnections({
+  maxDescriptors,
   maxPeerConnections,
-}: Pick<meshSettings.MeshSettings, 'maxPeerConnections'>): number {
-  return (
-    maxPeerConnections ?? Math.max(1, Math.floor((readDescriptorLimit() - OTHER_DESCRIPTORS) / 2))
-  );
+}: Pick<meshSettings.MeshSettings, 'maxDescriptors' | 'maxPeerConnections'>): number {
+  return maxPeerConnections ?? Math.max(1, Math.floor((maxDescriptors - OTHER_DESCRIPTORS) / 2));
 }
 
 /** What a limit has done to a call or a connection. */
--- a/packages/proxy/src/mesh/settings.ts
+++ b/packages/proxy/src/mesh/settings.ts
@@ -5,6 +5,8 @@
 const DEFAULT_APPLY_WITHIN_MS = 2_000;
 /** Memory of the smallest host in use. */
 const DEFAULT_MEMORY_MB = 250;
+/** Descriptors of the smallest host in use. */
+const DEFAULT_MAX_DESCRIPTORS = 4_096;
 /** Far more than callers pipeline; each pending call keeps its head and its response. */
 const DEFAULT_PENDING_CALLS = 100;
 const DEFAULT_LINK_MBPS = 1_000;
@@ -81,6 +83,8 @@
     .optional(),
   /** Memory of the host that the process may use, in megabytes. */
   memoryMb: z.number().positive().default(DEFAULT_MEMORY_MB),
+  /** File descriptors that the process may have open. */
+  maxDescriptors: z.number().int().positive().default(DEFAULT_MAX_DESCRIPTORS),
   /** Bytes that may be held for callers and peers at once; by default derived from `memoryMb`. */
   maxHeldBytes: z.number().positive().optional(),
   /** Open connections of callers; by default derived from `memoryMb` and the limit on descriptors. */
