--- a/packages/proxy/src/mesh/quota-codec.ts
+++ b/packages/proxy/src/mesh/quota-codec.ts
@@ -84,7 +84,11 @@
     reply: { sequence, from, stamp, heldGeneration, answers },
   }));
 
-const messageSchema = z.union([requestSchema, replySchema]);
+/** Looked up by the type of a message, since a failed attempt to parse costs more than a successful one. */
+const schemasByType = new Map<unknown, z.ZodType<QuotaMessage>>([
+  [REQUEST_TYPE, requestSchema],
+  [REPLY_TYPE, replySchema],
+]);
 
 const packStamp = ({ instance, at }: mesh.QuotaStamp): number[] => [instance, at];
 
@@ -141,5 +145,7 @@
  * const message = decodeQuotaMessage(bytes);
  */
 export function decodeQuotaMessage(bytes: Uint8Array): QuotaMessage {
-  return messageSchema.parse(msgpack.decode(bytes, { maxArrayLength: mesh.MAX_ASKS_PER_REQUEST }));
+  const message = msgpack.decode(bytes, { maxArrayLength: mesh.MAX_ASKS_PER_REQUEST });
+  const type: unknown = Array.isArray(message) ? message[0] : undefined;
+  return (schemasByType.get(type) ?? requestSchema).parse(message);
 }
