--- a/packages/core/src/mesh/placement.ts
+++ b/packages/core/src/mesh/placement.ts
@@ -75,7 +75,7 @@
 
 export const placementDefaults: PlacementOptions = {
   localityCostMs: { 'own-host': 0, 'data-centre': 2, region: 20, remote: 110 },
-  // Bytes between regions were the largest cost of the first measured run, 69 to 81 MB in 27 s, at 6 ms.
+  // Above the transmission time: links between regions are shared by all calls and are the dearest.
   kilobyteCostMs: { 'own-host': 0, 'data-centre': 0, region: 2, remote: 10 },
   loadHalfLifeMs: 1_500,
   relaxationFactor: 8,
--- a/packages/core/src/mesh/quota-leases.ts
+++ b/packages/core/src/mesh/quota-leases.ts
@@ -68,7 +68,7 @@
       groupsByKey.set(key, group);
     });
     groups = [...groupsByKey.values()];
-    // Whoever knows more hosts is right: a share must not be larger than one in all of them.
+    // The largest number known to any host counts, so that a share is never larger than one in all.
     const known = [...leases.values()].map(({ delegation }) => delegation.knownHosts);
     knownHosts = Math.max(1, ownKnownHosts, leases.size, ...known);
   };
--- a/packages/proxy/src/mesh/caller-connections.ts
+++ b/packages/proxy/src/mesh/caller-connections.ts
@@ -99,7 +99,7 @@
 
   connectionLimit.limitConnections(server, tracker, {
     maxConnections,
-    // A connection whose calls have been handed on is worth more than a new one.
+    // Its calls may have run, so closing it for a new connection would lose their responses.
     mustStay: (state, socket) => state === 'pending' && !isReceivingBody(socket),
     onClosed: (open) =>
       recordLimit('connection-closed', 'caller-connections', { open, limit: maxConnections }),
--- a/packages/proxy/src/mesh/settings.ts
+++ b/packages/proxy/src/mesh/settings.ts
@@ -77,7 +77,10 @@
       maxShare: z.number().positive().max(1),
       /** Calls that it may get besides. */
       slack: z.number().nonnegative(),
-      /** Time from the 50th bad response until it must get no calls any more, in milliseconds. */
+      /**
+       * Time from the 50th bad response until it must get no calls any more, in milliseconds. Nothing
+       * is timed by it: a verdict takes effect as soon as a host knows it.
+       */
       rollBackWithinMs: durationMsSchema,
     })
     .optional(),
